--- /dev/null
+++ b/cmd/cairnpick/main_test.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain makes the test's own binary a sidecar where it is started as one.
+func TestMain(m *testing.M) {
+	if os.Getenv("CAIRNPICK_IS_SIDECAR") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// process is a running sidecar.
+type process struct {
+	*exec.Cmd
+	addr string
+}
+
+func command(t *testing.T, config string) *exec.Cmd {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "CAIRNPICK_IS_SIDECAR=1", "GW_CONFIG="+path)
+	return cmd
+}
+
+var listens = regexp.MustCompile(`msg=ready .*listen=(\S+)`)
+
+func start(t *testing.T, config string) *process {
+	t.Helper()
+	s := &process{Cmd: command(t, config)}
+	log, err := s.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Process.Kill() })
+	lines := bufio.NewScanner(log)
+	for s.addr == "" {
+		if !lines.Scan() {
+			t.Fatalf("the sidecar did not get ready: %v", lines.Err())
+		}
+		if m := listens.FindStringSubmatch(lines.Text()); m != nil {
+			s.addr = m[1]
+		}
+	}
+	go io.Copy(io.Discard, log)
+	return s
+}
+
+func configText(listen, upstream string) string {
+	return fmt.Sprintf(`{"name":"n","listen":%q,"discovery":"127.0.0.1:1",
+"known":{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"health":"active"}]},
+"settings":{"GroupSize":1,"TickUs":1000,"Limits":{"SendCap":3,"Cancelling":true,"DialTimeoutUs":2000000,"ConnIdleUs":5000000},
+"Safety":{"AskEveryUs":10000000},"RequestClasses":[{"Name":"read","Effect":"read_like","AimUs":9000000,"DeadlineUs":10000000,"Worth":1}]}}`, listen, upstream)
+}
+
+func get(addr string) (*http.Response, error) {
+	q, err := http.NewRequest(http.MethodGet, "http://"+addr+"/read/k", nil)
+	if err != nil {
+		return nil, err
+	}
+	q.Header.Set("X-Request-ID", "1")
+	return http.DefaultClient.Do(q)
+}
+
+// TestBadConfiguration: one plain line that names what is wrong, and no listener.
+func TestBadConfiguration(t *testing.T) {
+	for _, tt := range []struct{ config, want string }{
+		{"", "GW_CONFIG"},
+		{configText("", "127.0.0.1:1"), "listen"},
+		{strings.Replace(configText("127.0.0.1:0", "127.0.0.1:1"), `"SendCap":3`, `"SendCap":0`, 1), "SendCap"},
+		{configText("127.0.0.1:99999", "127.0.0.1:1"), "listen"},
+	} {
+		cmd := command(t, tt.config)
+		var stderr bytes.Buffer
+		cmd.Stderr = &stderr
+		err := cmd.Run()
+		if err == nil || !strings.Contains(stderr.String(), tt.want) || strings.Count(stderr.String(), "\n") != 1 {
+			t.Errorf("exit %v with %q, want one line that names %s", err, stderr.String(), tt.want)
+		}
+	}
+}
+
+// TestTermAndKill: what is taken survives SIGTERM, and after SIGKILL the sidecar starts from nothing at its old address.
+func TestTermAndKill(t *testing.T) {
+	arrived, open := make(chan struct{}, 10), make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		arrived <- struct{}{}
+		<-open
+		io.WriteString(w, "ok")
+	}))
+	defer srv.Close()
+	s := start(t, configText("127.0.0.1:0", srv.Listener.Addr().String()))
+	type result struct {
+		body string
+		err  error
+	}
+	results := make(chan result, 10)
+	ask := func() {
+		resp, err := get(s.addr)
+		if err != nil {
+			results <- result{"", err}
+			return
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		results <- result{string(body), err}
+	}
+	go ask()
+	<-arrived
+	if err := s.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	go ask() // comes within the time in which new connections are still accepted
+	<-arrived
+	close(open)
+	for range 2 {
+		if r := <-results; r.err != nil || r.body != "ok" {
+			t.Errorf("answer %q, %v", r.body, r.err)
+		}
+	}
+	if err := s.Wait(); err != nil {
+		t.Errorf("exit after SIGTERM: %v", err)
+	}
+
+	s = start(t, configText(s.addr, srv.Listener.Addr().String()))
+	if err := s.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	s.Wait()
+	began := time.Now()
+	s = start(t, configText(s.addr, srv.Listener.Addr().String()))
+	go ask()
+	if r := <-results; r.err != nil || r.body != "ok" {
+		t.Errorf("answer %q, %v", r.body, r.err)
+	}
+	t.Logf("ready and answering %v after SIGKILL", time.Since(began))
+}
--- /dev/null
+++ b/internal/sidecar/config.go
@@ -0,0 +1,103 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+
+	"heathstack/internal/settings"
+)
+
+// Config is what one sidecar is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string // address of discovery
+	Seed      uint64
+	MemoryMB  int // the sidecar is killed over it
+	Sockets   int // descriptors that the process may hold
+	Known     *list
+	Settings  settings.Settings
+}
+
+// The limits taken where the configuration gives none, and the least that a sidecar can work with.
+const (
+	usualMemoryMB = 128
+	usualSockets  = 1024
+	leastMemoryMB = 64
+	leastSockets  = 64
+)
+
+// LoadConfig reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY have precedence over
+// it. An error names the variable or the key at fault.
+func LoadConfig(getenv func(string) string) (Config, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("GW_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	var file struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		} `json:"limits"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return Config{}, fmt.Errorf("GW_CONFIG %s: %w", path, err)
+	}
+	c := Config{
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
+		MemoryMB: usualMemoryMB, Sockets: usualSockets,
+	}
+	for name, value := range map[string]*string{
+		"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery,
+	} {
+		if v := getenv(name); v != "" {
+			*value = v
+		}
+	}
+	if file.Limits.MemoryMB != 0 {
+		c.MemoryMB = int(min(file.Limits.MemoryMB, math.MaxInt32))
+	}
+	if file.Limits.Sockets != 0 {
+		c.Sockets = file.Limits.Sockets
+	}
+	switch {
+	case c.Listen == "":
+		return Config{}, errors.New("listen is not set")
+	case c.Discovery == "":
+		return Config{}, errors.New("discovery is not set")
+	case c.MemoryMB < leastMemoryMB:
+		return Config{}, fmt.Errorf("limits.memory_mb is %d, below %d", c.MemoryMB, leastMemoryMB)
+	case c.Sockets < leastSockets:
+		return Config{}, fmt.Errorf("limits.sockets is %d, below %d", c.Sockets, leastSockets)
+	case len(file.Settings) == 0:
+		return Config{}, errors.New("settings is not set")
+	}
+	if file.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+			return Config{}, fmt.Errorf("seed: %w", err)
+		}
+	}
+	if len(file.Known) > 0 && string(file.Known) != "null" {
+		if c.Known, err = parseList(file.Known); err != nil {
+			return Config{}, fmt.Errorf("known: %w", err)
+		}
+	}
+	if c.Settings, err = settings.Parse(file.Settings); err != nil {
+		return Config{}, err
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/sidecar/config_test.go
@@ -0,0 +1,87 @@
+package sidecar
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"heathstack/internal/settings"
+)
+
+func TestLoadConfig(t *testing.T) {
+	good := configText("127.0.0.1:1", "127.0.0.1:2")
+	c, err := loadText(t, good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n0" || c.Discovery != "127.0.0.1:2" || c.Seed != 0x8c1f30d27a5be964 || c.MemoryMB != 128 ||
+		c.Sockets != 256 || len(c.Known.Hosts) != 1 || len(c.Settings.Config.Classes) != 3 {
+		t.Errorf("configuration %+v", c)
+	}
+	tests := []struct{ name, old, new, want string }{
+		{"malformed", `{"name"`, `{"name`, "GW_CONFIG"},
+		{"no listen", `"listen":"127.0.0.1:0"`, `"listen":""`, "listen"},
+		{"no discovery", `"discovery":"127.0.0.1:2"`, `"discovery":""`, "discovery"},
+		{"wrong type", `"sockets":256`, `"sockets":"many"`, "sockets"},
+		{"few sockets", `"sockets":256`, `"sockets":3`, "limits.sockets"},
+		{"little memory", `"memory_mb":128`, `"memory_mb":-1`, "limits.memory_mb"},
+		{"seed", `"seed":"8c`, `"seed":"xy`, "seed"},
+		{"known", `"health":"active"`, `"health":"odd"`, "known"},
+		{"setting of a wrong type", `"SendCap":3`, `"SendCap":"x"`, "SendCap"},
+		{"setting out of range", `"SendCap":3`, `"SendCap":0`, "Limits.SendCap"},
+		{"group", `"GroupSize":1`, `"GroupSize":0`, "GroupSize"},
+		{"ordinal", `"GroupSize":1`, `"GroupSize":1,"Ordinal":1`, "Ordinal"},
+		{"share", `"AskEveryUs"`, `"ColdFrom":2,"AskEveryUs"`, "Safety.ColdFrom"},
+		{"negative time", `"ConnIdleUs":60000000`, `"ConnIdleUs":-1`, "Limits.ConnIdleUs"},
+		{"deadline", `"DeadlineUs":10000000`, `"DeadlineUs":1`, "DeadlineUs"},
+		{"effect", `"Effect":"read_like"`, `"Effect":"odd"`, "Effect"},
+		{"group of a class", `"Group":"all"`, `"Group":"odd"`, "Group"},
+		{"no settings", `"settings":{`, `"other":{`, "settings"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			text := strings.Replace(good, tt.old, tt.new, 1)
+			if text == good {
+				t.Fatal("the test changes nothing")
+			}
+			if _, err := loadText(t, text); err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("error %v, want one that names %s", err, tt.want)
+			} else if strings.Contains(err.Error(), "\n") {
+				t.Errorf("error %q has more than one line", err)
+			}
+		})
+	}
+}
+
+func TestEnvironmentHasPrecedence(t *testing.T) {
+	if _, err := LoadConfig(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
+		t.Errorf("error %v, want one that names GW_CONFIG", err)
+	}
+	if _, err := LoadConfig(func(string) string { return "/nowhere/at/all" }); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
+		t.Errorf("error %v, want one that names GW_CONFIG", err)
+	}
+}
+
+// TestUnknownKeysAreIgnored: the settings of the tests hold some.
+func TestUnknownKeysAreIgnored(t *testing.T) {
+	if _, err := settings.Parse([]byte(strings.Replace(settingsText, `"Zone"`, `"Wholly":{"Novel":[1]},"Zone"`, 1))); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestLogIsBounded: the log is held in memory where there is no disk.
+func TestLogIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	log := NewLog(&out)
+	for range 100 * logBurst {
+		log.With("a", 1).WithGroup("g").Info("something goes wrong over and over")
+	}
+	n := strings.Count(out.String(), "\n")
+	if n > 2*logBurst || n < logBurst {
+		t.Errorf("%d lines, want about %d", n, logBurst)
+	}
+	if log.Enabled(t.Context(), slog.LevelDebug) {
+		t.Error("debug lines are on")
+	}
+}
--- /dev/null
+++ b/internal/sidecar/discovery_test.go
@@ -0,0 +1,159 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"heathstack/policy"
+)
+
+// watching starts a sidecar whose module has asked for a watch.
+func watching(t *testing.T) (*world, *script, *discovery, *watchConn) {
+	m, d := newScript(), newDiscovery(t)
+	w := start(t, m, "127.0.0.1:1", d.addr)
+	w.watch()
+	return w, m, d, next(t, "watch", d.watches)
+}
+
+func (w *world) watch() { w.host.event(func(policy.Time) { w.host.Watch(true) }) }
+
+func TestWatch(t *testing.T) {
+	w, m, d, c := watching(t)
+	if c.query != "/v1/servers?follow=1&since=41" {
+		t.Errorf("watch asks for %q", c.query)
+	}
+	c.head()
+	c.line("")
+	c.line(`{"seq":42,"whole":false,"novel":1,"hosts":[{"host":"b","dial":"127.0.0.1:2","site":"y","class":"m","block":7,"health":"active","share":0.5,"born_ms":1700000000123,"novel":2}]}`)
+	e := next(t, "list", m.members)
+	if e.kind != policy.ListDelta || len(e.servers) != 1 {
+		t.Fatalf("event %+v", e)
+	}
+	b := e.servers[0]
+	if b.ID != "b" || b.State != policy.Ready || b.Zone != "y" || b.Cell != 7 || b.Weight != 0.5 || b.Started == 0 {
+		t.Errorf("server %+v", b)
+	}
+	c.line(`{"seq":43,"whole":false,"hosts":[{"host":"b","dial":"127.0.0.1:3","site":"y","block":7,"health":"leaving","share":1,"born_ms":1700000000123}]}`)
+	e = next(t, "list", m.members)
+	if e.servers[0].State != policy.Draining || e.servers[0].Started != b.Started {
+		t.Errorf("server %+v; a time that is said again must stay the same", e.servers[0])
+	}
+	dials := func() string {
+		w.host.mu.Lock()
+		defer w.host.mu.Unlock()
+		return fmt.Sprint(w.host.dials)
+	}
+	if got := dials(); got != "map[a:127.0.0.1:1 b:127.0.0.1:3]" {
+		t.Errorf("addresses %s, want b's new one", got)
+	}
+	c.line(`{"seq":44,"whole":false,"hosts":[{"host":"b","dial":"","health":"left"},{"host":"a","dial":"127.0.0.1:1","health":"active","born_ms":1700000009000}]}`)
+	e = next(t, "list", m.members)
+	if e.servers[0].State != policy.Gone || e.servers[1].Started == 0 || e.servers[1].Started == b.Started {
+		t.Errorf("servers %+v", e.servers)
+	}
+	c.line(`{"seq":45,"whole":true,"hosts":[{"host":"c","dial":"127.0.0.1:4","health":"active"}]}`)
+	if e = next(t, "list", m.members); e.kind != policy.ListFull || e.servers[0].Started != 0 {
+		t.Errorf("event %+v", e)
+	}
+	if got := dials(); got != "map[c:127.0.0.1:4]" {
+		t.Errorf("addresses %s, want those of the whole list alone", got)
+	}
+	c.Close()
+	if e = next(t, "failure", m.members); e.kind != policy.ListFailed || len(e.servers) != 0 {
+		t.Errorf("event %+v, want ListFailed", e)
+	}
+	if len(d.watches) > 0 {
+		t.Error("the sidecar asked again of its own accord")
+	}
+	w.watch()
+	if c = next(t, "second watch", d.watches); !strings.HasSuffix(c.query, "since=45") {
+		t.Errorf("watch asks for %q, want since=45", c.query)
+	}
+	w.host.event(func(policy.Time) { w.host.Watch(false) })
+	c.SetReadDeadline(time.Now().Add(patience))
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("a watch that is called off stays open")
+	}
+}
+
+// TestWatchFails: whatever goes wrong with a watch, the list stays and the module is told once.
+func TestWatchFails(t *testing.T) {
+	tests := []struct {
+		name  string
+		serve func(c *watchConn)
+	}{
+		{"refused", func(c *watchConn) { io.WriteString(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") }},
+		{"reset", func(c *watchConn) { c.Conn.(*net.TCPConn).SetLinger(0); c.Close() }},
+		{"no HTTP", func(c *watchConn) { io.WriteString(c, "HELLO\r\n\r\n") }},
+		{"malformed line", func(c *watchConn) { c.head(); c.line(`{"seq":`) }},
+		{"no version", func(c *watchConn) { c.head(); c.line(`{"whole":true,"hosts":[]}`) }},
+		{"unknown health", func(c *watchConn) {
+			c.head()
+			c.line(`{"seq":50,"whole":true,"hosts":[{"host":"b","dial":"127.0.0.1:2","health":"odd"}]}`)
+		}},
+		{"no address", func(c *watchConn) {
+			c.head()
+			c.line(`{"seq":50,"whole":true,"hosts":[{"host":"b","health":"active"}]}`)
+		}},
+		{"wrong type", func(c *watchConn) { c.head(); c.line(`{"seq":50,"whole":true,"hosts":[{"host":7}]}`) }},
+		{"endless line", func(c *watchConn) { c.head(); c.line(strings.Repeat(" ", mostLine+1)) }},
+		{"endless head", func(c *watchConn) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 2*mostHead))
+		}},
+		{"end", func(c *watchConn) { c.head(); io.WriteString(c, "0\r\n\r\n") }},
+		{"silence from the start", func(c *watchConn) {}},
+		{"silence later", func(c *watchConn) { c.head(); c.line("") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel() // some of them wait for silence to end
+			w, m, _, c := watching(t)
+			go tt.serve(c)
+			if e := next(t, "failure", m.members); e.kind != policy.ListFailed {
+				t.Fatalf("event %+v, want ListFailed", e)
+			}
+			w.host.mu.Lock()
+			defer w.host.mu.Unlock()
+			if len(m.members) > 0 || len(w.host.dials) != 1 || w.host.seq != 41 || w.host.stopWatch != nil {
+				t.Errorf("%d more events, addresses %v, version %d", len(m.members), w.host.dials, w.host.seq)
+			}
+		})
+	}
+}
+
+// TestDiscoveryRefused: nobody listens.
+func TestDiscoveryRefused(t *testing.T) {
+	m := newScript()
+	w := start(t, m, "127.0.0.1:1", "127.0.0.1:1")
+	w.watch()
+	if e := next(t, "failure", m.members); e.kind != policy.ListFailed {
+		t.Errorf("event %+v, want ListFailed", e)
+	}
+}
+
+func TestStarted(t *testing.T) {
+	w := start(t, newScript(), "127.0.0.1:1", "127.0.0.1:1")
+	h := w.host
+	nowMs := time.Now().UnixMilli()
+	tests := []struct {
+		name     string
+		ms       int64
+		min, max policy.Time
+	}{
+		{"long ago", 0, 0, 0},
+		{"just now", nowMs, h.now() - time.Minute, h.now() + time.Minute},
+		{"at the clock's origin", h.originMs, 1, 1},
+		{"before it", h.originMs - 5, -5 * time.Millisecond, -5 * time.Millisecond},
+		{"senseless", 1 << 62, time.Duration(1e12) * time.Millisecond, time.Duration(1e12) * time.Millisecond},
+		{"senseless", -1 << 62, -time.Duration(1e12) * time.Millisecond, -time.Duration(1e12) * time.Millisecond},
+	}
+	for _, tt := range tests {
+		if got := h.started(tt.ms); got < tt.min || got > tt.max || got != h.started(tt.ms) {
+			t.Errorf("%s: started(%d) = %v, want %v to %v", tt.name, tt.ms, got, tt.min, tt.max)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/drain.go
@@ -0,0 +1,123 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"heathstack/policy"
+)
+
+const (
+	// drainWindow is how long new connections may go on coming after SIGTERM, and some more.
+	drainWindow = 500 * time.Millisecond
+	// backlogQuiet is how long no connection may come before the backlog counts as empty.
+	backlogQuiet = 50 * time.Millisecond
+	// drainSlack is what the last answers may take beyond the longest deadline.
+	drainSlack = 150 * time.Millisecond
+)
+
+// Sidecar is one real sidecar.
+type Sidecar struct {
+	cfg    Config
+	log    *slog.Logger
+	host   *host
+	server *http.Server
+	socks  *sockets
+	quiet  *quietClients
+	stop   context.CancelFunc
+}
+
+// New makes a sidecar. It opens no socket.
+func New(cfg Config, log *slog.Logger) (*Sidecar, error) {
+	b, err := policy.New(cfg.Settings.Config, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	return newSidecar(cfg, b, log), nil
+}
+
+func newSidecar(cfg Config, b module, log *slog.Logger) *Sidecar {
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Sidecar{
+		cfg: cfg, log: log, socks: newSockets(cfg.Sockets), quiet: &quietClients{since: map[*clientConn]time.Time{}}, stop: stop,
+	}
+	up := newUpstreams(cfg.Settings.Config, s.socks)
+	s.socks.evict = []func() bool{func() bool { return up.closeIdle(0, 1) > 0 }, s.quiet.evict}
+	s.host = newHost(ctx, cfg, b, up, log)
+	s.server = newServer(&clients{host: s.host, room: newRoom(cfg.MemoryMB)}, s.quiet, log)
+	go up.sweep(ctx)
+	return s
+}
+
+// Run serves until ctx ends, and then drains. It returns once all that was taken is answered.
+func (s *Sidecar) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", s.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return s.serve(ctx, ln.(*net.TCPListener))
+}
+
+func (s *Sidecar) serve(ctx context.Context, ln *net.TCPListener) error {
+	defer s.stop()
+	backlog := &backlog{TCPListener: ln}
+	served := make(chan error, 1)
+	go func() { served <- s.server.Serve(&listener{backlog, context.Background(), s.socks}) }()
+	s.log.Info("ready", "name", s.cfg.Name, "listen", ln.Addr().String(), "load", s.host.String())
+	select {
+	case err := <-served:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	s.log.Info("draining", "load", s.host.String())
+	// Answers close their connections from here on, and idle ones are closed: a request that crosses that comes
+	// again on a new connection, which is still accepted.
+	s.server.SetKeepAlivesEnabled(false)
+	end, cancel := context.WithTimeout(context.Background(), drainWindow+s.host.longest+drainSlack)
+	defer cancel()
+	backlog.drain(time.Now().Add(drainWindow))
+	select {
+	case <-served: // the backlog is empty
+	case <-end.Done():
+	}
+	err := s.server.Shutdown(end)
+	s.log.Info("drained", "load", s.host.String(), "err", err)
+	return nil
+}
+
+// backlog is a listener that can be drained: it goes on accepting until a time, and then until no more
+// connections wait. Closing it at once would reset those that the kernel has accepted.
+type backlog struct {
+	*net.TCPListener
+	mu    sync.Mutex
+	until time.Time // zero: not draining
+}
+
+// drain starts the draining; Accept fails once the backlog is empty after until.
+func (b *backlog) drain(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.until = until
+	b.SetDeadline(until.Add(backlogQuiet))
+}
+
+// Accept is the method of net.Listener.
+func (b *backlog) Accept() (net.Conn, error) {
+	b.mu.Lock()
+	if now := time.Now(); !b.until.IsZero() && now.After(b.until) {
+		b.SetDeadline(now.Add(backlogQuiet))
+	}
+	b.mu.Unlock()
+	c, err := b.TCPListener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, net.ErrClosed // a time-out would make the server try again
+	}
+	return c, err
+}
--- /dev/null
+++ b/internal/sidecar/log.go
@@ -0,0 +1,42 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"log/slog"
+
+	"golang.org/x/time/rate"
+)
+
+// The log is bounded: where there is no disk its lines are kept in memory, and a fleet in trouble gives each
+// sidecar something to say for every request.
+const (
+	logRate  = 5 // lines a second in the long run
+	logBurst = 100
+)
+
+// NewLog returns the sidecar's log on w.
+func NewLog(w io.Writer) *slog.Logger {
+	return slog.New(limited{slog.NewTextHandler(w, nil), rate.NewLimiter(logRate, logBurst)})
+}
+
+// limited is a handler that drops the lines over the rate.
+type limited struct {
+	slog.Handler
+	limiter *rate.Limiter
+}
+
+func (l limited) Handle(ctx context.Context, r slog.Record) error {
+	if !l.limiter.Allow() {
+		return nil
+	}
+	return l.Handler.Handle(ctx, r)
+}
+
+func (l limited) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return limited{l.Handler.WithAttrs(attrs), l.limiter}
+}
+
+func (l limited) WithGroup(name string) slog.Handler {
+	return limited{l.Handler.WithGroup(name), l.limiter}
+}
--- /dev/null
+++ b/internal/sidecar/server_test.go
@@ -0,0 +1,460 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"heathstack/policy"
+)
+
+// seen is a request as an upstream has it.
+type seen struct {
+	line   string // method and target as they stand on the wire
+	header http.Header
+	sum    [sha256.Size]byte
+	length int
+}
+
+// recording answers requests with okAnswer and tells what it saw.
+func recording(t *testing.T) (string, chan seen) {
+	got := make(chan seen, 100)
+	return upstream(t, answering(func(q *http.Request, c net.Conn) {
+		body, _ := io.ReadAll(q.Body)
+		got <- seen{q.Method + " " + q.RequestURI, q.Header, sha256.Sum256(body), len(body)}
+		io.WriteString(c, strings.ReplaceAll(okAnswer, "\n", "\r\n"))
+	})), got
+}
+
+// TestForwardsUnchanged guards what an upstream tells repeats by, and paths that a mux or a URL parser rewrites.
+func TestForwardsUnchanged(t *testing.T) {
+	addr, got := recording(t)
+	w := start(t, newScript(), addr, "127.0.0.1:1")
+	big := strings.Repeat("0123456789abcdef", mostBody/16)
+	tests := []struct{ name, line, headers, body string }{
+		{"plain", "GET /read/k", "", ""},
+		{"target kept byte for byte", "GET /read/a%2Fb//c/../%41?x=1&&y=%20;z", "", ""},
+		{"two slashes at first", "GET //read/k", "", ""},
+		{"characters that URLs escape", `GET /read/"<k>|^`, "", ""},
+		{"keyed", "POST /order/k", "Idempotency-Key: 5C0f\nX-Novel: 1\n", "body"},
+		{"unsafe, no body", "POST /pay/k", "", ""},
+		{"32 MB", "POST /pay/k", "", big},
+	}
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			text := fmt.Sprintf("%s HTTP/1.1\nHost: s\nX-Request-ID: id%d\nX-Timeout-Ms: 9000\n%s", tt.line, i, tt.headers)
+			if strings.HasPrefix(tt.line, "POST") {
+				text += fmt.Sprintf("Content-Length: %d\n", len(tt.body))
+			}
+			resp, body := w.ask(t, text+"\n"+tt.body)
+			if resp.StatusCode != http.StatusOK || body != "ok" {
+				t.Fatalf("answer %d %q", resp.StatusCode, body)
+			}
+			s := next(t, "request", got)
+			if s.line != tt.line {
+				t.Errorf("request line %q, want %q", s.line, tt.line)
+			}
+			if s.length != len(tt.body) || s.sum != sha256.Sum256([]byte(tt.body)) {
+				t.Errorf("body of %d bytes is not the client's", s.length)
+			}
+			if id := s.header.Get("X-Request-Id"); id != fmt.Sprint("id", i) {
+				t.Errorf("X-Request-ID %q", id)
+			}
+			if strings.Contains(tt.headers, "5C0f") && (s.header.Get("Idempotency-Key") != "5C0f" || s.header.Get("X-Novel") != "1") {
+				t.Errorf("headers %v", s.header)
+			}
+		})
+	}
+}
+
+// TestChunkedBodiesAreForwarded: their parts come to the upstream in one piece, and one that breaks off does not.
+func TestChunkedBodiesAreForwarded(t *testing.T) {
+	addr, got := recording(t)
+	w := start(t, newScript(), addr, "127.0.0.1:1")
+	head := "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nTransfer-Encoding: chunked\n\n"
+	for _, n := range []int{0, 1, firstSegment, firstSegment + 1, firstSegment + segment, 5 << 20, mostBody} {
+		body := strings.Repeat("0123456789abcdef", n/16+1)[:n]
+		c := w.connect(t)
+		c.write(head)
+		if n > 0 {
+			fmt.Fprintf(c, "%x\r\n%s\r\n", n, body)
+		}
+		c.write("0\n\n")
+		if resp, _ := c.read(t); resp.StatusCode != http.StatusOK {
+			t.Errorf("%d bytes: answer %d", n, resp.StatusCode)
+		}
+		if s := next(t, "request", got); s.length != n || s.sum != sha256.Sum256([]byte(body)) {
+			t.Errorf("%d bytes came as %d, or changed", n, s.length)
+		}
+	}
+	c := w.connect(t)
+	c.write(head)
+	fmt.Fprintf(c, "%x\r\n%s\r\n", 5, "hello")
+	c.Conn.(*net.TCPConn).CloseWrite()
+	if resp, _ := c.read(t); resp.StatusCode != http.StatusBadRequest || len(got) > 0 {
+		t.Errorf("answer %d to half a body, %d sent on", resp.StatusCode, len(got))
+	}
+}
+
+// TestWaitIsPassedOn: X-Timeout-Ms tells the upstream how long the sidecar waits, not what the client said.
+func TestWaitIsPassedOn(t *testing.T) {
+	addr, got := recording(t)
+	m := newScript()
+	m.request = func(_ policy.Time, q policy.Request, act policy.Actions) { act.Send(q.ID, "a", 700*time.Millisecond) }
+	w := start(t, m, addr, "127.0.0.1:1")
+	w.ask(t, plainGet)
+	ms, err := strconv.Atoi(next(t, "request", got).header.Get("X-Timeout-Ms"))
+	if err != nil || ms < 1 || ms > 700 {
+		t.Errorf("X-Timeout-Ms is %d, %v; want at most 700", ms, err)
+	}
+}
+
+// TestWhatTheModuleIsTold is a table of requests and the event of each.
+func TestWhatTheModuleIsTold(t *testing.T) {
+	type event struct {
+		policy.Request
+		left time.Duration
+	}
+	events := make(chan event, 10)
+	m := newScript()
+	m.request = func(now policy.Time, q policy.Request, act policy.Actions) {
+		events <- event{q, q.Expires - now}
+		act.Fail(q.ID)
+	}
+	w := start(t, m, "127.0.0.1:1", "127.0.0.1:1")
+	tests := []struct {
+		name, request string
+		want          policy.Request
+		left          time.Duration // at most, and at least 1 s less
+	}{
+		{"all there is", "GET /read/u/k7 HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 4000\nX-Tenant-Id: acme\nX-Retried: 1\nX-Cost: 1200\nX-Attrs: a=1\n\n",
+			policy.Request{Class: "read", Key: "k7", Tenant: "acme", Retry: true, Cost: 1200 * time.Microsecond}, 4 * time.Second},
+		{"no key", "GET /read HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 4000\n\n", policy.Request{Class: "read"}, 4 * time.Second},
+		{"no timeout", "GET /read/k HTTP/1.1\nHost: s\nX-Request-ID: 1\n\n", policy.Request{Class: "read", Key: "k"}, 10 * time.Second},
+		{"senseless timeout", "GET /read/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: -4\n\n", policy.Request{Class: "read", Key: "k"}, 10 * time.Second},
+		{"endless timeout", "GET /read/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9223372036854775807\n\n", policy.Request{Class: "read", Key: "k"}, 10 * time.Second},
+		{"unknown class", "POST /novel/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 4000\nContent-Length: 0\n\n", policy.Request{Class: "novel", Key: "k"}, 4 * time.Second},
+		{"malformed cost", "GET /read/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 4000\nX-Cost: much\nX-Attrs: ====,\n\n", policy.Request{Class: "read", Key: "k"}, 4 * time.Second},
+		{"negative cost", "GET /read/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 4000\nX-Cost: -3\n\n", policy.Request{Class: "read", Key: "k"}, 4 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if resp, _ := w.ask(t, tt.request); resp.StatusCode != http.StatusBadGateway {
+				t.Errorf("answer %d to a request that the module fails", resp.StatusCode)
+			}
+			e := next(t, "event", events)
+			got := e.Request
+			got.ID, got.Expires = 0, 0
+			if got != tt.want {
+				t.Errorf("event %+v, want %+v", got, tt.want)
+			}
+			if e.left > tt.left || e.left < tt.left-time.Second {
+				t.Errorf("%v left, want %v", e.left, tt.left)
+			}
+		})
+	}
+}
+
+// TestIllegalRequests: what is malformed is answered, and comes neither to the module nor to an upstream.
+func TestIllegalRequests(t *testing.T) {
+	m := newScript()
+	m.request = func(_ policy.Time, q policy.Request, act policy.Actions) {
+		t.Errorf("the module got %+v", q)
+		act.Fail(q.ID)
+	}
+	w := start(t, m, "127.0.0.1:1", "127.0.0.1:1")
+	tests := []struct {
+		name, request string
+		want          int
+	}{
+		{"no HTTP", "HELLO\n\n", 400},
+		{"no id", "GET /read/k HTTP/1.1\nHost: s\nX-Timeout-Ms: 9000\n\n", 400},
+		{"no host", "GET /read/k HTTP/1.1\nX-Request-ID: 1\n\n", 400},
+		{"unknown class and no timeout", "GET /novel/k HTTP/1.1\nHost: s\nX-Request-ID: 1\n\n", 400},
+		{"unknown class and a senseless timeout", "GET /novel/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: soon\n\n", 400},
+		{"keyed class without a key", "POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: 0\n\n", 400},
+		{"senseless length", "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: many\n\n", 400},
+		{"over 32 MB", fmt.Sprintf("POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: %d\n\n", mostBody+1), 413},
+		{"broken chunk", "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nTransfer-Encoding: chunked\n\nzz\n", 400},
+		{"head too long", "GET /read/k HTTP/1.1\nHost: s\nX-Long: " + strings.Repeat("x", 2*mostClientHead) + "\n\n", 431},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := w.connect(t)
+			go c.write(tt.request)
+			resp, err := http.ReadResponse(c.r, nil)
+			if err != nil || resp.StatusCode != tt.want {
+				t.Errorf("answer %v, %v; want %d", resp, err, tt.want)
+			}
+		})
+	}
+	t.Run("chunked and over 32 MB", func(t *testing.T) {
+		c := w.connect(t)
+		go func() {
+			c.write("POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nTransfer-Encoding: chunked\n\n")
+			fmt.Fprintf(c, "%x\r\n", mostBody+1)
+			c.Write(make([]byte, mostBody+1))
+		}()
+		if resp, err := http.ReadResponse(c.r, nil); err != nil || resp.StatusCode != 413 {
+			t.Errorf("answer %v, %v; want 413", resp, err)
+		}
+	})
+	t.Run("healthz", func(t *testing.T) {
+		if resp, _ := w.ask(t, "GET /healthz HTTP/1.1\nHost: s\n\n"); resp.StatusCode != 200 {
+			t.Errorf("answer %d", resp.StatusCode)
+		}
+	})
+}
+
+// TestTimeRunsFromTheLastByte guards against charging a slow client for the time it takes to write.
+func TestTimeRunsFromTheLastByte(t *testing.T) {
+	w := start(t, newScript(), upstream(t, say(okAnswer)), "127.0.0.1:1")
+	c := w.connect(t)
+	c.write("POST /pay/k HTTP/1.1\nHost: s\nX-Reque")
+	time.Sleep(600 * time.Millisecond)
+	c.write("st-ID: 1\nX-Timeout-Ms: 1000\nContent-Length: 2\n\nx")
+	time.Sleep(600 * time.Millisecond)
+	c.write("y")
+	if resp, _ := c.read(t); resp.StatusCode != http.StatusOK {
+		t.Errorf("answer %d", resp.StatusCode)
+	}
+}
+
+// TestKeepAlive: a client's connection carries one request after another.
+func TestKeepAlive(t *testing.T) {
+	w := start(t, newScript(), upstream(t, say(okAnswer)), "127.0.0.1:1")
+	c := w.connect(t)
+	for range 5 {
+		c.write(plainGet)
+		if resp, body := c.read(t); resp.StatusCode != 200 || body != "ok" || resp.Close {
+			t.Fatalf("answer %d %q, closes: %v", resp.StatusCode, body, resp.Close)
+		}
+	}
+}
+
+// TestFinalAnswers is a table of what the module decides and what the client gets.
+func TestFinalAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		decide func(id policy.RequestID, act policy.Actions)
+		want   int
+		retry  string
+	}{
+		{"refused", func(id policy.RequestID, act policy.Actions) { act.Refuse(id, 0) }, 503, ""},
+		{"refused with a delay", func(id policy.RequestID, act policy.Actions) { act.Refuse(id, 1500*time.Millisecond) }, 503, "1.5"},
+		{"failed", func(id policy.RequestID, act policy.Actions) { act.Fail(id) }, 502, ""},
+		{"two answers", func(id policy.RequestID, act policy.Actions) { act.Fail(id); act.Refuse(id, 0) }, 502, ""},
+		{"send after the answer", func(id policy.RequestID, act policy.Actions) { act.Refuse(id, 0); act.Send(id, "a", time.Second) }, 503, ""},
+		{"unlisted server", func(id policy.RequestID, act policy.Actions) { act.Send(id, "b", time.Second) }, 502, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newScript()
+			m.request = func(_ policy.Time, q policy.Request, act policy.Actions) { tt.decide(q.ID, act) }
+			w := start(t, m, upstream(t, func(int, net.Conn) { t.Error("an upstream was reached") }), "127.0.0.1:1")
+			resp, _ := w.ask(t, plainGet)
+			if resp.StatusCode != tt.want || resp.Header.Get("Retry-After") != tt.retry {
+				t.Errorf("answer %d, Retry-After %q; want %d, %q", resp.StatusCode, resp.Header.Get("Retry-After"), tt.want, tt.retry)
+			}
+			eventually(t, "nothing is left of it", func() bool {
+				w.host.mu.Lock()
+				defer w.host.mu.Unlock()
+				return len(w.host.requests) == 0
+			})
+		})
+	}
+}
+
+// TestLongAnswersStream: they reach the client while the upstream still writes, and the module learns it.
+func TestLongAnswersStream(t *testing.T) {
+	const length = 3 * wholeAnswer
+	want := bytes.Repeat([]byte("abcd"), length/4)
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprint("chunked ", chunked), func(t *testing.T) {
+			first := wholeAnswer + 1 // a length that is not told shows only then
+			if !chunked {
+				first = 1
+			}
+			goOn := make(chan struct{})
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				if !chunked {
+					w.Header().Set("Content-Length", strconv.Itoa(length))
+				}
+				w.Write(want[:first])
+				w.(http.Flusher).Flush()
+				<-goOn
+				w.Write(want[first:])
+			}))
+			t.Cleanup(srv.Close)
+			m := newScript()
+			w := start(t, m, srv.Listener.Addr().String(), "127.0.0.1:1")
+			c := w.connect(t)
+			sent := time.Now()
+			c.write(plainGet)
+			resp, err := http.ReadResponse(c.r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			next(t, "Streaming", m.streaming)
+			got := make([]byte, first)
+			if _, err := io.ReadFull(resp.Body, got); err != nil {
+				t.Fatalf("the beginning: %v", err)
+			}
+			reached := time.Since(sent)
+			time.Sleep(50 * time.Millisecond) // a client that takes its time
+			close(goOn)
+			rest, err := io.ReadAll(resp.Body)
+			if err != nil || !bytes.Equal(append(got, rest...), want) {
+				t.Errorf("answer of %d bytes, %v; want %d", len(got)+len(rest), err, length)
+			}
+			o := next(t, "outcome", m.outcomes)
+			if o.Status != policy.OK || !o.Closed {
+				t.Errorf("outcome %+v", o)
+			}
+			// Incident r1f1b89: the delay must be that of the first bytes, which had come by reached.
+			if o.Delay > reached {
+				t.Errorf("delay %v, although the answer had begun within %v", o.Delay, reached)
+			}
+		})
+	}
+}
+
+// TestTruncatedAnswers: a client must be able to tell that an answer is not whole.
+func TestTruncatedAnswers(t *testing.T) {
+	for _, head := range []string{
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", 3*wholeAnswer),
+		fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", 3*wholeAnswer),
+	} {
+		m := newScript()
+		w := start(t, m, upstream(t, func(_ int, c net.Conn) {
+			http.ReadRequest(bufio.NewReader(c))
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head)
+			c.Write(make([]byte, 2*wholeAnswer))
+			c.Close()
+		}), "127.0.0.1:1")
+		c := w.connect(t)
+		c.write(plainGet)
+		resp, err := http.ReadResponse(c.r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+			t.Errorf("%d bytes of a broken answer look whole", n)
+		}
+		if o := next(t, "outcome", m.outcomes); o.Status != policy.Reset || !o.Closed {
+			t.Errorf("outcome %+v, want Reset and Closed", o)
+		}
+	}
+}
+
+// TestClientLeavesLongAnswer: the upstream's connection is not held by an answer that nobody takes.
+func TestClientLeavesLongAnswer(t *testing.T) {
+	closed := make(chan struct{})
+	m := newScript()
+	w := start(t, m, upstream(t, func(_ int, c net.Conn) {
+		http.ReadRequest(bufio.NewReader(c))
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n")
+		for {
+			if _, err := c.Write(make([]byte, 1<<16)); err != nil {
+				close(closed)
+				return
+			}
+		}
+	}), "127.0.0.1:1")
+	c := w.connect(t)
+	c.write(plainGet)
+	io.ReadFull(c.r, make([]byte, 1000))
+	c.Close()
+	next(t, "close of the upstream's connection", closed)
+	if o := next(t, "outcome", m.outcomes); o.Status != policy.Canceled || !o.Closed {
+		t.Errorf("outcome %+v, want Canceled and Closed", o)
+	}
+}
+
+// TestChunkedBodiesDoNotQueue guards against incident r1f1b89: while some clients take long over bodies of
+// unknown length, the bodies of others are read.
+func TestChunkedBodiesDoNotQueue(t *testing.T) {
+	w := start(t, newScript(), upstream(t, say(okAnswer)), "127.0.0.1:1")
+	for range 20 {
+		c := w.connect(t)
+		c.write("POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nTransfer-Encoding: chunked\n\n")
+		fmt.Fprintf(c, "%x\r\n%s", 200<<10, make([]byte, 100<<10)) // and no more
+	}
+	for range 3 {
+		body := strings.Repeat("x", 250<<10)
+		resp, _ := w.ask(t, fmt.Sprintf("POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nTransfer-Encoding: chunked\n\n%x\n%s\n0\n\n", len(body), body))
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("answer %d", resp.StatusCode)
+		}
+	}
+}
+
+// TestRoomIsBounded: bodies never hold more than the room there is, one that waits is left unread, bodies of one
+// size leave room for those of another (incident r1f0832), and all of it comes back.
+func TestRoomIsBounded(t *testing.T) {
+	const memory = 128
+	m := newRoom(memory)
+	var held []*reservation
+	total := 0
+	for _, n := range []int{shortBody, mostBody, segment} { // each must find room when the others have none
+		for range memory<<20/n + 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+			v, err := m.reserve(ctx, int64(n))
+			cancel()
+			if err != nil {
+				break
+			}
+			held = append(held, v)
+			total += n
+		}
+		if last := held[len(held)-1]; last.small+last.medium != int64(n) && !last.long {
+			t.Errorf("no room for a body of %d bytes", n)
+		}
+	}
+	if total > memory<<20*5/8 {
+		t.Errorf("bodies hold %d bytes", total)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, n := range []int64{segment, shortBody, mostBody} {
+		if _, err := m.reserve(ctx, n); err == nil {
+			t.Errorf("room for %d more bytes", n)
+		}
+	}
+	if err := held[0].grow(ctx, segment); err == nil {
+		t.Error("room to grow")
+	}
+	for _, v := range held {
+		v.free()
+		v.free() // harmless
+	}
+	if !m.small.TryAcquire(memory<<20/16) || !m.medium.TryAcquire(memory<<20/4) || !m.long.TryAcquire(1) {
+		t.Error("not all room came back")
+	}
+}
+
+// TestSmallBodiesDoNotQueue guards against incident r1f0832: while clients take long over bodies of megabytes, small
+// ones are read.
+func TestSmallBodiesDoNotQueue(t *testing.T) {
+	w := start(t, newScript(), upstream(t, say(okAnswer)), "127.0.0.1:1")
+	for range 40 {
+		w.connect(t).write(fmt.Sprintf("POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nContent-Length: %d\n\nx", 2<<20))
+	}
+	if resp, _ := w.ask(t, "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nContent-Length: 1\n\nx"); resp.StatusCode != http.StatusOK {
+		t.Errorf("answer %d", resp.StatusCode)
+	}
+	body := strings.Repeat("0123456789abcdef", 1000)
+	if resp, _ := w.ask(t, fmt.Sprintf("POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nTransfer-Encoding: chunked\n\n%x\n%s\n0\n\n", 5, body[:5])); resp.StatusCode != http.StatusOK {
+		t.Errorf("answer %d", resp.StatusCode)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/upstream.go
@@ -0,0 +1,441 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"heathstack/policy"
+)
+
+const (
+	// wholeAnswer is the longest answer that is read whole before it counts as OK.
+	wholeAnswer = 64 << 10
+	// streamChunk is the buffer through which longer ones pass.
+	streamChunk = 16 << 10
+	// streamStall is how long an upstream may be silent in the middle of an answer before it counts as broken.
+	streamStall = 5 * time.Second
+	// mostHead bounds the head of an upstream's answer: one that never ends must not fill the memory.
+	mostHead = 64 << 10
+	// mostInterim bounds the 1xx answers before the final one.
+	mostInterim = 5
+	// idleShare is the part of the idle limit after which an idle connection is closed: the upstream closes it
+	// at the limit, and a request that crosses that close is lost to a reset.
+	idleShare = 0.6
+	// connBuffer is the size of a connection's two buffers: most heads and answers fit.
+	connBuffer = 4 << 10
+)
+
+// attempt is one send of a request.
+type attempt struct {
+	req      *request
+	number   int
+	server   policy.ServerID
+	sent     policy.Time
+	deadline time.Time
+	done     bool // its outcome is told; under the host's lock
+
+	mu       sync.Mutex
+	canceled bool
+	stop     func() // ends what the attempt waits for
+}
+
+// cancel calls the attempt off. Its goroutine tells the outcome.
+func (a *attempt) cancel() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.canceled = true
+	if a.stop != nil {
+		a.stop()
+	}
+}
+
+// onCancel makes stop what ends the present wait, and reports whether the attempt is still wanted.
+func (a *attempt) onCancel(stop func()) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stop = stop
+	return !a.canceled
+}
+
+func (a *attempt) isCanceled() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.canceled
+}
+
+// upstreams holds the connections to upstreams. They carry one request at a time.
+type upstreams struct {
+	sockets     *sockets
+	dialTimeout time.Duration
+	idleFor     time.Duration // how long a connection is kept idle
+
+	mu   sync.Mutex
+	idle map[string][]*conn // by address; the last one used comes last
+}
+
+// conn is a connection to an upstream.
+type conn struct {
+	net.Conn
+	addr    string
+	release func() // of its descriptor
+	r       *bufio.Reader
+	w       *bufio.Writer
+	budget  int // bytes that may still be read
+	since   time.Time
+}
+
+// Read guards against a head without end.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.budget <= 0 {
+		return 0, errors.New("the answer's head is too long")
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.budget)])
+	c.budget -= n
+	return n, err
+}
+
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.release()
+	return err
+}
+
+func newUpstreams(cfg policy.Config, s *sockets) *upstreams {
+	return &upstreams{
+		sockets: s, dialTimeout: cfg.DialTimeout, idleFor: time.Duration(float64(cfg.ConnIdle) * idleShare),
+		idle: map[string][]*conn{},
+	}
+}
+
+// reuse returns an idle connection to addr, or nil. One on which the upstream has closed, or has said
+// something unasked, is of no use: what is written to it would end as a reset.
+func (u *upstreams) reuse(addr string, deadline time.Time) *conn {
+	for {
+		u.mu.Lock()
+		list := u.idle[addr]
+		if len(list) == 0 {
+			u.mu.Unlock()
+			return nil
+		}
+		c := list[len(list)-1]
+		u.setIdle(addr, list[:len(list)-1])
+		u.mu.Unlock()
+		c.SetDeadline(deadline)
+		if time.Since(c.since) < u.idleFor && c.quiet() {
+			return c
+		}
+		c.Close()
+	}
+}
+
+// setIdle replaces an address's list, and drops an empty one: addresses come and go for ever.
+func (u *upstreams) setIdle(addr string, list []*conn) {
+	if len(list) == 0 {
+		delete(u.idle, addr)
+		return
+	}
+	u.idle[addr] = list
+}
+
+// quiet reports whether nothing is there to be read, neither bytes nor the end.
+func (c *conn) quiet() bool { return c.r.Buffered() == 0 && nothingCame(c.Conn) }
+
+// keep makes c idle.
+func (u *upstreams) keep(c *conn) {
+	if u.idleFor <= 0 || c.r.Buffered() > 0 || u.sockets.scarce() {
+		c.Close()
+		return
+	}
+	c.since = time.Now()
+	u.mu.Lock()
+	u.idle[c.addr] = append(u.idle[c.addr], c)
+	u.mu.Unlock()
+}
+
+// hangUp closes the idle connections to addr.
+func (u *upstreams) hangUp(addr string) {
+	u.mu.Lock()
+	list := u.idle[addr]
+	delete(u.idle, addr)
+	u.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+}
+
+// closeIdle closes the connections that have been idle for d, and returns how many it closed.
+func (u *upstreams) closeIdle(d time.Duration, most int) int {
+	var old []*conn
+	u.mu.Lock()
+	for addr, list := range u.idle {
+		n := 0
+		for n < len(list) && len(old) < most && time.Since(list[n].since) >= d {
+			old = append(old, list[n])
+			n++
+		}
+		if n > 0 {
+			u.setIdle(addr, slices.Clone(list[n:]))
+		}
+	}
+	u.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+	return len(old)
+}
+
+// sweep closes idle connections in time until ctx ends.
+func (u *upstreams) sweep(ctx context.Context) {
+	if u.idleFor <= 0 {
+		return
+	}
+	tick := time.NewTicker(max(u.idleFor/4, 10*time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			u.closeIdle(u.idleFor, 1<<30)
+		}
+	}
+}
+
+// connect returns an idle connection to addr, or dials one.
+func (u *upstreams) connect(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
+	if c := u.reuse(addr, deadline); c != nil {
+		return c, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(u.dialTimeout)))
+	defer cancel()
+	release, err := u.sockets.acquire(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var d net.Dialer
+	d.KeepAlive = -1 // idle connections do not live long enough for it
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	c := &conn{Conn: nc, addr: addr, release: release}
+	c.r, c.w = bufio.NewReaderSize(c, connBuffer), bufio.NewWriterSize(nc, connBuffer)
+	c.SetDeadline(deadline)
+	return c, nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// errNotWritten wraps what broke an exchange before its last byte was written: it has never run.
+type errNotWritten struct{ error }
+
+func (e errNotWritten) Unwrap() error { return e.error }
+
+// exchange writes a request and reads the head of the answer.
+func (c *conn) exchange(q *http.Request) (*http.Response, error) {
+	c.budget = mostHead
+	err := q.Write(c.w)
+	if err == nil {
+		err = c.w.Flush()
+	}
+	if err != nil {
+		return nil, errNotWritten{err}
+	}
+	for range mostInterim {
+		resp, err := http.ReadResponse(c.r, q)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			c.budget = 1 << 62 // the body is bounded by its readers
+			return resp, nil
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
+// attempt carries out one attempt, and tells its one outcome.
+func (h *host) attempt(a *attempt, addr string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if !a.onCancel(cancel) {
+		h.settle(a, policy.Canceled, nil, answer{})
+		return
+	}
+	c, err := h.up.connect(ctx, addr, a.deadline)
+	if err != nil {
+		h.broken(a, errNotWritten{err})
+		return
+	}
+	if !a.onCancel(func() { c.Close() }) {
+		c.Close()
+		h.settle(a, policy.Canceled, nil, answer{})
+		return
+	}
+	resp, err := c.exchange(a.request())
+	if err != nil {
+		c.Close()
+		h.broken(a, err)
+		return
+	}
+	var load *policy.Load
+	if text := resp.Header.Get("X-Server-Load"); text != "" && h.settings.Config.InlineReports {
+		load = parseLoad(text, h.settings.Fields)
+	}
+	if resp.StatusCode != http.StatusOK {
+		status := policy.AppError
+		if s := resp.StatusCode; (s == http.StatusServiceUnavailable || s == http.StatusGatewayTimeout) &&
+			resp.Header.Get("X-Not-Processed") == "1" {
+			status = policy.Full
+		}
+		_, err := io.CopyN(io.Discard, resp.Body, connBuffer)
+		h.done(a, c, resp, err == io.EOF)
+		h.settle(a, status, load, answer{})
+		return
+	}
+	h.pass(a, c, resp, load)
+}
+
+// pass takes a 200 answer: whole if it is short, else as it comes.
+func (h *host) pass(a *attempt, c *conn, resp *http.Response, load *policy.Load) {
+	ans := answer{status: http.StatusOK, header: forwarded(resp.Header)}
+	var err error
+	long := resp.ContentLength > wholeAnswer
+	switch {
+	case long:
+		ans.body = make([]byte, streamChunk)
+		var n int
+		n, err = io.ReadAtLeast(resp.Body, ans.body, 1)
+		ans.body = ans.body[:n]
+	case resp.ContentLength >= 0:
+		ans.body = make([]byte, resp.ContentLength)
+		_, err = io.ReadFull(resp.Body, ans.body)
+	default:
+		var b bytes.Buffer
+		_, err = b.ReadFrom(io.LimitReader(resp.Body, wholeAnswer+1))
+		ans.body = b.Bytes()
+		long = len(ans.body) > wholeAnswer
+	}
+	if err != nil {
+		c.Close()
+		h.broken(a, err)
+		return
+	}
+	if !long {
+		h.done(a, c, resp, true)
+		h.settle(a, policy.OK, load, ans)
+		return
+	}
+	ans.stream = &stream{conn: c, body: resp.Body, length: resp.ContentLength}
+	ans.stream.end = func(status policy.Status) {
+		h.done(a, c, resp, status == policy.OK)
+		h.settle(a, status, load, answer{})
+	}
+	if !h.begin(a, ans) {
+		c.Close()
+		h.settle(a, policy.Canceled, nil, answer{})
+	}
+}
+
+// done keeps a connection for the next request, if the exchange on it ended in order.
+func (h *host) done(a *attempt, c *conn, resp *http.Response, orderly bool) {
+	if !a.onCancel(nil) || !orderly || resp.Close {
+		c.Close()
+		return
+	}
+	h.up.keep(c)
+}
+
+// broken tells the outcome of an attempt that ended without an answer.
+func (h *host) broken(a *attempt, err error) {
+	status := policy.Reset
+	var notWritten errNotWritten
+	switch {
+	case a.isCanceled():
+		status = policy.Canceled
+	case errors.As(err, &notWritten): // whatever ended it, the upstream never had the whole
+		status = policy.ConnectFailed
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status = policy.Timeout
+	}
+	h.log.Debug("attempt", "request", a.req.header.Get("X-Request-Id"), "upstream", a.server, "status", status, "err", err)
+	h.settle(a, status, nil, answer{})
+}
+
+// stream is the rest of an answer that is passed on as it comes. Its end is told once.
+type stream struct {
+	conn   *conn
+	body   io.Reader
+	length int64 // -1: not known
+	end    func(policy.Status)
+}
+
+// read reads a further part.
+func (s *stream) read(p []byte) (int, error) {
+	s.conn.SetReadDeadline(time.Now().Add(streamStall))
+	return s.body.Read(p)
+}
+
+// request is what the upstream is sent.
+func (a *attempt) request() *http.Request {
+	r := a.req
+	header := maps.Clone(r.header)
+	header["X-Timeout-Ms"] = []string{strconv.FormatInt(max(1, time.Until(a.deadline).Milliseconds()), 10)}
+	q := &http.Request{Method: r.method, URL: r.target, Host: r.host, Header: header}
+	for _, part := range r.body {
+		q.ContentLength += int64(len(part))
+	}
+	if q.ContentLength > 0 {
+		body := slices.Clone(r.body) // reading uses it up
+		q.Body = io.NopCloser(&body)
+	} else if r.method != http.MethodGet {
+		q.Body = http.NoBody
+	}
+	return q
+}
+
+// target is the URL under which q's target goes on as the client wrote it.
+func target(q *http.Request) *url.URL {
+	if strings.HasPrefix(q.RequestURI, "//") { // as Opaque it would stand for a host
+		return q.URL
+	}
+	return &url.URL{Opaque: q.RequestURI}
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Content-Length", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// forwarded takes from h what concerns one connection only.
+func forwarded(h http.Header) http.Header {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+	return h
+}
--- /dev/null
+++ b/internal/sidecar/upstream_test.go
@@ -0,0 +1,318 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"heathstack/policy"
+)
+
+// TestOutcomes guards PROTOCOL's table of outcomes, on which rests what may be sent again.
+func TestOutcomes(t *testing.T) {
+	refused := func(t *testing.T) string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		return ln.Addr().String()
+	}
+	serving := func(serve func(int, net.Conn)) func(*testing.T) string {
+		return func(t *testing.T) string { return upstream(t, serve) }
+	}
+	// closing reads a request, and ends the connection after text.
+	closing := func(text string) func(*testing.T) string {
+		return serving(func(_ int, c net.Conn) {
+			q, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				io.Copy(io.Discard, q.Body)
+			}
+			io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n"))
+			c.Close()
+		})
+	}
+	long := "POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nIdempotency-Key: k\n" +
+		fmt.Sprintf("Content-Length: %d\n\n", 8<<20) + strings.Repeat("x", 8<<20)
+	short := "GET /read/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 300\n\n"
+	tests := []struct {
+		name     string
+		upstream func(*testing.T) string
+		request  string
+		want     policy.Status
+		code     int
+	}{
+		{"served", serving(say(okAnswer)), plainGet, policy.OK, 200},
+		{"served, after an interim answer", serving(say("HTTP/1.1 103 Early Hints\n\n" + okAnswer)), plainGet, policy.OK, 200},
+		{"served, empty", serving(say("HTTP/1.1 200 OK\nContent-Length: 0\n\n")), plainGet, policy.OK, 200},
+		{"served, chunked", serving(say("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n2\nok\n0\n\n")), plainGet, policy.OK, 200},
+		{"error", serving(say("HTTP/1.1 500 Oh\nContent-Length: 0\n\n")), plainGet, policy.AppError, 502},
+		{"another success is no answer", serving(say("HTTP/1.1 204 No\n\n")), plainGet, policy.AppError, 502},
+		{"turned away", serving(say("HTTP/1.1 503 No\nX-Not-Processed: 1\nContent-Length: 0\n\n")), plainGet, policy.Full, 502},
+		{"over", serving(say("HTTP/1.1 504 No\nX-Not-Processed: 1\nContent-Length: 0\n\n")), plainGet, policy.Full, 502},
+		{"503 that may have run", serving(say("HTTP/1.1 503 No\nContent-Length: 0\n\n")), plainGet, policy.AppError, 502},
+		{"500 cannot be turned away", serving(say("HTTP/1.1 500 No\nX-Not-Processed: 1\nContent-Length: 0\n\n")), plainGet, policy.AppError, 502},
+		{"connection refused", refused, plainGet, policy.ConnectFailed, 502},
+		{"break while writing", serving(func(_ int, c net.Conn) {
+			io.ReadFull(c, make([]byte, 1000))
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}), long, policy.ConnectFailed, 502},
+		{"break after writing", closing(""), plainGet, policy.Reset, 502},
+		{"break in the head", closing("HTTP/1.1 200 OK\nContent-"), plainGet, policy.Reset, 502},
+		{"break in the body", closing("HTTP/1.1 200 OK\nContent-Length: 9\n\nabc"), plainGet, policy.Reset, 502},
+		{"broken HTTP", closing("HELLO\n\n"), plainGet, policy.Reset, 502},
+		{"senseless length", closing("HTTP/1.1 200 OK\nContent-Length: -5\n\nabc"), plainGet, policy.Reset, 502},
+		{"broken chunk", closing("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\nzz\nabc"), plainGet, policy.Reset, 502},
+		{"endless head", serving(answering(func(_ *http.Request, c net.Conn) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			for {
+				if _, err := io.WriteString(c, "X-More: "+strings.Repeat("y", 1000)+"\r\n"); err != nil {
+					return
+				}
+			}
+		})), plainGet, policy.Reset, 502},
+		{"endless interim answers", serving(answering(func(_ *http.Request, c net.Conn) {
+			for {
+				if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+					return
+				}
+			}
+		})), plainGet, policy.Reset, 502},
+		{"silence", serving(func(int, net.Conn) {}), short, policy.Timeout, 502},
+		{"silence in the body", serving(say("HTTP/1.1 200 OK\nContent-Length: 9\n\nabc")), short, policy.Timeout, 502},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newScript()
+			w := start(t, m, tt.upstream(t), "127.0.0.1:1")
+			c := w.connect(t)
+			go c.write(tt.request)
+			resp, _ := c.read(t)
+			o := next(t, "outcome", m.outcomes)
+			if o.Status != tt.want || resp.StatusCode != tt.code {
+				t.Errorf("outcome %v, answer %d; want %v, %d", o.Status, resp.StatusCode, tt.want, tt.code)
+			}
+			if o.Server != "a" || o.Attempt != 0 || o.Delay <= 0 || o.Closed != (tt.want == policy.OK) {
+				t.Errorf("outcome %+v", o)
+			}
+			if n := len(m.outcomes); n > 0 {
+				t.Errorf("%d more outcomes of one attempt", n)
+			}
+		})
+	}
+}
+
+// TestDialThatNeverComesUp: a listener whose backlog is full answers nothing.
+func TestDialThatNeverComesUp(t *testing.T) {
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if err := setBacklog(ln, 0); err != nil {
+		t.Fatal(err)
+	}
+	for full := false; !full; { // nobody accepts: the queue fills up
+		c, err := net.DialTimeout("tcp", ln.Addr().String(), 200*time.Millisecond)
+		if full = err != nil; !full {
+			defer c.Close()
+		}
+	}
+	m := newScript()
+	w := start(t, m, ln.Addr().String(), "127.0.0.1:1", func(c *Config) {
+		c.Settings.Config.DialTimeout = 50 * time.Millisecond
+	})
+	w.ask(t, plainGet)
+	if o := next(t, "outcome", m.outcomes); o.Status != policy.ConnectFailed {
+		t.Errorf("outcome %v, want ConnectFailed", o.Status)
+	}
+}
+
+// TestNothingIsSentAgain guards against a library that repeats a request when a kept connection breaks.
+func TestNothingIsSentAgain(t *testing.T) {
+	requests := make(chan string, 10)
+	addr := upstream(t, func(n int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for i := 0; ; i++ {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			requests <- q.Header.Get("X-Request-Id")
+			if n == 0 && i == 1 {
+				c.Close()
+				return
+			}
+			io.WriteString(c, strings.ReplaceAll(okAnswer, "\n", "\r\n"))
+		}
+	})
+	m := newScript()
+	w := start(t, m, addr, "127.0.0.1:1")
+	w.ask(t, plainGet)
+	w.ask(t, strings.Replace(plainGet, "ID: 1", "ID: 2\nIdempotency-Key: x", 1))
+	next(t, "outcome", m.outcomes)
+	if o := next(t, "outcome", m.outcomes); o.Status != policy.Reset {
+		t.Errorf("outcome %v, want Reset", o.Status)
+	}
+	w.ask(t, strings.Replace(plainGet, "ID: 1", "ID: 3", 1)) // whatever is sent again has come by now
+	var got []string
+	for range 3 {
+		got = append(got, next(t, "request", requests))
+	}
+	if fmt.Sprint(got) != "[1 2 3]" || len(requests) > 0 {
+		t.Errorf("requests %v, and %d more", got, len(requests))
+	}
+}
+
+// TestIdleConnections guards against writing to a connection that the upstream closes as idle.
+func TestIdleConnections(t *testing.T) {
+	conns := make(chan net.Conn, 10)
+	addr := upstream(t, func(n int, c net.Conn) {
+		conns <- c
+		say(okAnswer)(n, c)
+	})
+	t.Run("reused", func(t *testing.T) {
+		w := start(t, newScript(), addr, "127.0.0.1:1")
+		w.ask(t, plainGet)
+		w.ask(t, plainGet)
+		next(t, "connection", conns)
+		if len(conns) != 0 {
+			t.Error("a second connection, with an idle one at hand")
+		}
+		w.host.event(func(policy.Time) { w.host.HangUp("a") })
+		w.ask(t, plainGet)
+		next(t, "new connection after a hang-up", conns)
+	})
+	t.Run("closed by the upstream", func(t *testing.T) {
+		m := newScript()
+		w := start(t, m, addr, "127.0.0.1:1")
+		for range 2 {
+			w.ask(t, plainGet)
+			if o := next(t, "outcome", m.outcomes); o.Status != policy.OK {
+				t.Errorf("outcome %v, want OK", o.Status)
+			}
+			next(t, "connection", conns).Close()
+			eventually(t, "the close shows", func() bool {
+				w.host.up.mu.Lock()
+				defer w.host.up.mu.Unlock()
+				list := w.host.up.idle[addr]
+				return len(list) == 1 && !list[0].quiet()
+			})
+		}
+	})
+	t.Run("closed in time", func(t *testing.T) {
+		w := start(t, newScript(), addr, "127.0.0.1:1", func(c *Config) {
+			c.Settings.Config.ConnIdle = 100 * time.Millisecond
+		})
+		w.ask(t, plainGet)
+		c := next(t, "connection", conns)
+		c.SetReadDeadline(time.Now().Add(patience))
+		eventually(t, "no idle connection is left", func() bool {
+			w.host.up.mu.Lock()
+			defer w.host.up.mu.Unlock()
+			return len(w.host.up.idle) == 0
+		})
+		eventually(t, "its descriptor is given back", func() bool { return len(w.socks.all) <= 2 })
+	})
+}
+
+// TestCancel guards against attempts that go on after the module, or the client, has given them up.
+func TestCancel(t *testing.T) {
+	gone := make(chan error, 10)
+	addr := upstream(t, func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		http.ReadRequest(r)
+		_, err := r.ReadByte()
+		gone <- err
+	})
+	t.Run("by the module", func(t *testing.T) {
+		m := newScript()
+		m.request = func(now policy.Time, q policy.Request, act policy.Actions) {
+			act.Send(q.ID, "a", time.Minute)
+			act.Send(q.ID, "a", time.Minute)
+			act.SetTimer(10*time.Millisecond, "x")
+		}
+		w := start(t, m, addr, "127.0.0.1:1")
+		c := w.connect(t)
+		c.write(plainGet)
+		next(t, "timer", m.timers)
+		w.host.event(func(policy.Time) {
+			w.host.Cancel(1, 0)
+			w.host.Cancel(1, 1)
+			w.host.Cancel(1, 2) // never made
+			w.host.Fail(1)
+		})
+		for range 2 {
+			if o := next(t, "outcome", m.outcomes); o.Status != policy.Canceled {
+				t.Errorf("outcome %v, want Canceled", o.Status)
+			}
+		}
+		if resp, _ := c.read(t); resp.StatusCode != http.StatusBadGateway {
+			t.Errorf("answer %d", resp.StatusCode)
+		}
+	})
+	t.Run("client gone", func(t *testing.T) {
+		m := newScript()
+		w := start(t, m, addr, "127.0.0.1:1")
+		c := w.connect(t)
+		c.write(plainGet)
+		eventually(t, "the request is taken", func() bool {
+			w.host.mu.Lock()
+			defer w.host.mu.Unlock()
+			return w.host.lastID == 1
+		})
+		c.Close()
+		id := next(t, "Withdrawn", m.withdrawn)
+		w.host.event(func(policy.Time) { w.host.Cancel(id, 0) })
+		if o := next(t, "outcome", m.outcomes); o.Status != policy.Canceled || !o.Closed {
+			t.Errorf("outcome %+v, want Canceled and Closed", o)
+		}
+		eventually(t, "nothing is left of it", func() bool {
+			w.host.mu.Lock()
+			defer w.host.mu.Unlock()
+			return len(w.host.requests) == 0
+		})
+	})
+}
+
+// TestLosersWriteNothing: of two copies the first whole answer is the client's, and the other one's is dropped.
+func TestLosersWriteNothing(t *testing.T) {
+	second := make(chan struct{})
+	addr := upstream(t, func(n int, c net.Conn) {
+		r := bufio.NewReader(c)
+		http.ReadRequest(r)
+		if n == 1 {
+			<-second
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		say(okAnswer)(n, c)
+	})
+	m := newScript()
+	m.request = func(now policy.Time, q policy.Request, act policy.Actions) {
+		act.Send(q.ID, "a", q.Expires-now)
+		act.Send(q.ID, "a", q.Expires-now)
+	}
+	w := start(t, m, addr, "127.0.0.1:1")
+	c := w.connect(t)
+	c.write(plainGet)
+	if _, body := c.read(t); body != "0" {
+		t.Errorf("answer %q, want that of the first", body)
+	}
+	close(second)
+	for range 2 {
+		if o := next(t, "outcome", m.outcomes); o.Status != policy.OK || !o.Closed {
+			t.Errorf("outcome %+v, want OK and Closed", o)
+		}
+	}
+	m.request = nil
+	c.write(plainGet) // comes next on the connection: nothing else was written to it
+	if resp, _ := c.read(t); resp.StatusCode != http.StatusOK {
+		t.Errorf("the next answer is %d", resp.StatusCode)
+	}
+}
--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,195 @@
+// Package policy decides where a sidecar sends each request. It is a pure
+// state machine: the host calls one method of Balancer per event, passing the
+// time, and the Balancer answers by calling methods of Actions. It starts no
+// goroutines and reads no clock, so equal events give equal actions.
+//
+// This file is the whole interface; every decision is in policy.go.
+package policy
+
+import "time"
+
+// Time is an instant on the host's monotonic clock; its origin means nothing.
+type Time = time.Duration
+
+// ServerID names a server. Only equality, order and hash of it are used.
+type ServerID string
+
+// RequestID names a request; the host never uses one twice.
+type RequestID uint64
+
+// Effect says what repeating a request of a class may do.
+type Effect int
+
+// The effects.
+const (
+	Safe   Effect = iota // may be repeated freely
+	Keyed                // repeats are dropped within a group for a while
+	Unsafe               // must never run twice
+)
+
+// Group says which servers drop the repeats of a keyed request.
+type Group int
+
+// The groups.
+const (
+	GroupAll  Group = iota // every server
+	GroupZone              // the servers of the zone that got it first
+	GroupCell              // the servers of the cell that got it first
+)
+
+// Class describes one class of requests.
+type Class struct {
+	Name      string
+	Effect    Effect
+	Group     Group         // for Keyed
+	KeyTTL    time.Duration // for Keyed: how long repeats are dropped
+	Aim       time.Duration // answers within it have the full worth
+	Deadline  time.Duration // the client's patience over all its tries
+	Worth     float64
+	LateShare float64 // share of the worth left after Aim
+}
+
+// Tenant describes one tenant's allowance over all sidecars.
+type Tenant struct {
+	Name         string
+	AllowancePer float64 // requests a second
+}
+
+// Config is what a sidecar is told at start.
+type Config struct {
+	Ordinal, GroupSize int // this sidecar's number among its peers
+	Zone               string
+	Classes            []Class
+	Tenants            []Tenant
+	OverShareWorth     float64 // worth of traffic beyond a tenant's allowance
+
+	Pushed        bool // the server list arrives unasked
+	MayProbe      bool
+	MayCancel     bool
+	MayDuplicate  bool // a request may have two attempts out at once
+	HintsRetry    bool // clients heed the delay given with a refusal
+	MaxAttempts   int
+	MaxRetryAfter time.Duration
+	DialTimeout   time.Duration
+	ConnIdle      time.Duration
+	Tick          time.Duration // least time between two events
+
+	InlineReports bool // answers carry load reports; otherwise only probes do
+	WarmKeys      bool // a server does less work for a key that it met lately
+
+	AskEvery    time.Duration // without news this long, the list counts as told
+	AnswerGrace time.Duration
+	ColdFrom    float64       // least share of capacity at a server's start
+	Ramp        time.Duration // a server is warm after it
+
+	ProbeTariff, ConnectionTariff, HandshakeTariff, CrossZoneTariff float64
+}
+
+// ServerState is what the list says of a server.
+type ServerState int
+
+// The server states.
+const (
+	Ready ServerState = iota
+	Draining
+	Gone
+)
+
+// Server is an entry of the server list.
+type Server struct {
+	ID      ServerID
+	State   ServerState
+	Zone    string
+	Cell    int
+	Weight  float64
+	Started Time // zero: long ago
+}
+
+// ListKind says how a list update is to be read.
+type ListKind int
+
+// The list kinds.
+const (
+	ListDelta  ListKind = iota // changed entries only
+	ListFull                   // everything; absent servers are gone
+	ListCached                 // everything, perhaps out of date
+	ListFailed                 // a call failed or the subscription broke
+)
+
+// Request is a client's request.
+type Request struct {
+	ID      RequestID
+	Class   string
+	Tenant  string
+	Key     string
+	Cost    time.Duration // rough expected work; zero: unknown
+	Retry   bool
+	Expires Time // the client gives this try up
+}
+
+// Status says how an attempt or a probe ended.
+type Status int
+
+// The statuses. NotRun tells which prove that nothing was executed.
+const (
+	OK Status = iota
+	AppError
+	Full
+	Timeout
+	ConnectFailed
+	Reset
+	Canceled
+	Moot
+)
+
+// NotRun reports whether s proves that the attempt was never executed.
+func (s Status) NotRun() bool { return s == Full || s == ConnectFailed || s == Moot }
+
+// Load is a server's report; negative fields were not reported.
+type Load struct {
+	Queue     float64 // requests that wait
+	Inflight  float64 // requests that it holds in all
+	Latency   float64 // recent service time in milliseconds
+	ErrorRate float64 // errors a second
+}
+
+// Outcome is the end of one attempt.
+type Outcome struct {
+	ID      RequestID
+	Attempt int
+	Server  ServerID
+	Status  Status
+	Delay   time.Duration
+	Closed  bool // the request has ended
+	Load    *Load
+}
+
+// ProbeResult is the end of one probe.
+type ProbeResult struct {
+	Server ServerID
+	Status Status
+	Delay  time.Duration
+	Load   *Load
+}
+
+// Actions carries out what the Balancer decides. Calls take effect in order.
+type Actions interface {
+	// Send starts the request's next attempt, numbered from 0.
+	Send(id RequestID, server ServerID, timeout time.Duration)
+	// Refuse ends a request, promising that a retry is harmless.
+	Refuse(id RequestID, retryAfter time.Duration)
+	// Fail ends a request without any promise.
+	Fail(id RequestID)
+	// Cancel calls an attempt off.
+	Cancel(id RequestID, attempt int)
+	// SetTimer asks for a Timer event.
+	SetTimer(after time.Duration, token string)
+	// Probe asks a server for a load report.
+	Probe(server ServerID)
+	// HangUp closes the idle connections to a server.
+	HangUp(server ServerID)
+	// Watch subscribes to the server list.
+	Watch(on bool)
+	// Log adds a line for staff.
+	Log(text string)
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,590 @@
+// The interface (Config, events, Actions) is in policy/api.go, the records kept are in policy/state.go.
+
+package policy
+
+import (
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// probeSample is d of JBT-d: two choices already tilt the pick (section 3.2).
+	probeSample = 2
+	// maxReadySet keeps each member's figures fresh: more members than this see too few of a sidecar's
+	// own requests and probes.
+	maxReadySet = 5
+	// probeSpend is what probing may cost in points of the result; with the tariff it gives the period T.
+	probeSpend = 0.05
+	// refusedShare of it is spent on a request that ends up refused: it comes back up to three times.
+	refusedShare = 0.4
+	// connSpend is what held connections may cost in points; with the tariff it sizes the ready set.
+	connSpend = 0.02
+	// minReadySet keeps a choice and two spares when one member fails.
+	minReadySet = 3
+	// patienceShare of the time left may pass until a good reply: the request then stands in that queue too.
+	patienceShare = 6
+	// lateBand is the part of the time left over which refusals set in, up to certain: wide enough that
+	// queues settle inside it, below the aim, although each refused client comes back up to three times.
+	lateBand = 0.4
+	// firstEject is the first ejection; each further failure in a row doubles it, up to the ramp time.
+	firstEject = 500 * time.Millisecond
+	// smooth is the weight of a new sample in moving averages: about the last ten count.
+	smooth = 0.1
+)
+
+// Balancer decides for one sidecar. It is not safe for concurrent use.
+type Balancer struct {
+	cfg      Config
+	rng      *rand.Rand
+	classes  map[string]*class
+	servers  map[ServerID]*server
+	ready    []*server // ready servers in this sidecar's order of preference
+	zonal    bool      // the ready set is of the own zone
+	setSize  int       // how many of them make up the ready set
+	requests map[RequestID]*request
+
+	threshold float64       // shortest queue reported so far in the last probe round
+	newRound  bool          // no reply of that round has come
+	held      []*request    // in order of arrival: requests waiting for a mark
+	markLife  time.Duration // marks older than this have gone stale
+	busy      float64       // share of probes that found a request waiting
+	credit    float64       // probes that the traffic so far has paid for
+
+	delay delayModel // of answers by the reported queue
+
+	topWorth   float64 // highest worth of a class for each second of its aim
+	sweeping   bool    // a timer for sweep is out
+	watching   bool
+	watchFails int
+}
+
+// New returns a Balancer for cfg; seed feeds its private random numbers.
+func New(cfg Config, seed uint64) (*Balancer, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{
+		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		classes: map[string]*class{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
+		threshold: math.Inf(1), credit: probeSample, busy: 1,
+	}
+	for _, c := range cfg.Classes {
+		b.classes[c.Name] = &class{Class: c}
+		b.topWorth = max(b.topWorth, c.Worth/c.Aim.Seconds())
+		if b.markLife == 0 || c.Aim < b.markLife {
+			b.markLife = c.Aim
+		}
+	}
+	return b, nil
+}
+
+// Members takes a message about the server list.
+func (b *Balancer) Members(now Time, kind ListKind, entries []Server, act Actions) {
+	if kind == ListFailed {
+		// A failed call is retried after a growing, jittered pause: a thousand sidecars
+		// that ask again at once would swamp the list service for good. The first pause is short, as a
+		// watch that breaks often leaves a list that changes.
+		b.watching = false
+		b.watchFails++
+		pause := b.cfg.AskEvery / 16 << min(b.watchFails, 4)
+		act.SetTimer(pause/2+b.jitter(pause), "watch")
+		return
+	}
+	if kind != ListDelta {
+		for _, s := range b.servers {
+			s.State = Gone
+		}
+	}
+	for _, e := range entries {
+		s := b.servers[e.ID]
+		if s == nil {
+			s = &server{slowness: 1}
+			b.servers[e.ID] = s
+		}
+		if e.Started != s.Started {
+			*s = server{slowness: 1} // a restarted process owes nothing to its past
+		}
+		s.Server = e
+	}
+	// Guards against a fleet that keeps being replaced: its records would grow without end.
+	maps.DeleteFunc(b.servers, func(_ ServerID, s *server) bool { return s.State == Gone })
+	b.rebuild()
+	if kind == ListCached && !b.cfg.Pushed && !b.watching {
+		act.SetTimer(b.jitter(b.cfg.AskEvery*6/10), "watch") // spread over most of the time that rules give
+	} else if b.watching {
+		b.watchFails = 0
+	}
+	for _, id := range sortedKeys(b.requests) { // requests held for want of a server
+		if r := b.requests[id]; !r.ended && len(r.attempts) == 0 && r.patience == 0 {
+			b.send(now, r, b.set(now), act)
+		}
+	}
+}
+
+// rebuild orders the ready servers. A ready set starts at a place given by the sidecar's number and
+// goes on in steps that differ between neighbours: every server gets equally many sidecars, and the
+// load of one that fails spreads over many. The spares after it follow by rendezvous hashing.
+func (b *Balancer) rebuild() {
+	pool := b.ready[:0]
+	for _, id := range sortedKeys(b.servers) {
+		s := b.servers[id]
+		s.marked = s.marked && s.State == Ready
+		if s.State == Ready {
+			pool = append(pool, s)
+		}
+	}
+	byHash(pool, 0)
+	// Where leaving the zone costs more than the probes to find a server there, the set is of the own zone.
+	abroad := func(s *server) bool { return s.Zone != b.cfg.Zone }
+	near := slices.DeleteFunc(slices.Clone(pool), abroad)
+	b.zonal = len(near) >= minReadySet && b.cfg.CrossZoneTariff > probeSample*b.cfg.ProbeTariff
+	if !b.zonal {
+		near = slices.Clone(pool)
+	}
+	n := len(near)
+	b.setSize = min(n, maxReadySet)
+	if b.cfg.ConnectionTariff > 0 {
+		perSidecar := 100 * connSpend / b.cfg.ConnectionTariff * float64(len(pool)) / float64(b.cfg.GroupSize)
+		b.setSize = min(b.setSize, max(minReadySet, int(perSidecar)))
+	}
+	ordered := make([]*server, 0, len(pool))
+	step := 1 + b.cfg.Ordinal%max(1, (n-1)/max(1, b.setSize-1))
+	for j := range b.setSize {
+		ordered = append(ordered, near[(b.cfg.Ordinal*n/b.cfg.GroupSize+j*step)%n])
+	}
+	byHash(pool, uint64(b.cfg.Ordinal)<<32)
+	for _, s := range pool {
+		if !slices.Contains(ordered[:b.setSize], s) {
+			ordered = append(ordered, s)
+		}
+	}
+	b.ready = ordered
+}
+
+// Request takes a client's request.
+func (b *Balancer) Request(now Time, q Request, act Actions) {
+	c := b.classes[q.Class]
+	if c == nil { // unknown: assume the worst of a repeat and the best of a late answer
+		left := q.Expires - now
+		c = &class{Class: Class{Name: q.Class, Effect: Unsafe, Aim: left, Deadline: left}}
+	}
+	r := &request{Request: q, class: c}
+	b.requests[q.ID] = r
+	r.began = c.began(now, q, b.cfg.Tick)
+	r.useful = r.began + c.Aim
+	r.end = q.Expires
+	if c.LateShare == 0 {
+		r.end = min(r.end, r.useful-b.cfg.Tick)
+	}
+	// Under overload what is worth less for its time gives way first, by standing less of a queue.
+	bare := b.delay.at(0)
+	scale := math.Sqrt(c.Worth/c.Aim.Seconds()/max(b.topWorth, 1e-9)) * (1 - lateBand*b.rng.Float64())
+	r.limit = time.Duration(bare + (float64(r.useful-now)-bare)*scale)
+	if r.end <= now+b.cfg.Tick { // nobody gains from the work
+		b.finish(now, r, false, act)
+		return
+	}
+	act.SetTimer(r.end-now, token(q.ID))
+	b.earn(refusedShare)
+	set := b.set(now)
+	if !b.cfg.MayProbe || b.credit < probeSample || len(set) == 0 {
+		// Work that nobody awaits any more keeps queues long for all.
+		if s := b.pick(now, r, set); s != nil && b.expected(s) > r.limit {
+			b.finish(now, r, true, act)
+		} else {
+			b.send(now, r, set, act)
+		}
+		return
+	}
+	r.probed = b.renew(r, set, act)
+	good := func(s *server) bool { return b.hasMark(now, s) && b.expected(s) <= r.limit && !b.cfg.WarmKeys }
+	if slices.ContainsFunc(set, good) {
+		b.send(now, r, set, act)
+		return
+	}
+	// Only stale figures: the request waits for the first reply of its round, or else is refused.
+	r.patience = now + (r.end-now)/patienceShare
+	b.held = append(b.held, r)
+	act.SetTimer(r.patience-now, token(q.ID))
+}
+
+// earn credits the probes that a share of a request pays for: all of them after a failure or while they
+// find requests waiting, and down to a tenth while they find none, when any server will do.
+func (b *Balancer) earn(share float64) {
+	b.credit = min(b.credit+share*max(b.busy, 0.1)*probeSpend/max(b.cfg.ProbeTariff, 1e-9), probeSample)
+}
+
+// renew starts a probe round, whose replies set the threshold. The period T is thus counted in
+// requests, so that sidecars that send little neither probe in vain nor keep a clock.
+// Where servers do less work for a key they met lately, the round asks the key's homes instead: the d
+// servers that rendezvous hashing puts first.
+func (b *Balancer) renew(r *request, set []*server, act Actions) []*server {
+	set = slices.Clone(set)
+	b.rng.Shuffle(len(set), func(i, j int) { set[i], set[j] = set[j], set[i] })
+	if b.cfg.WarmKeys && r.Key != "" {
+		byHash(set, hash(ServerID(r.Key), 0))
+	}
+	set = set[:min(probeSample, len(set))]
+	b.credit -= probeSample
+	b.newRound = true
+	for _, s := range set {
+		act.Probe(s.ID)
+	}
+	return set
+}
+
+// Probed takes the result of a probe.
+func (b *Balancer) Probed(now Time, p ProbeResult, act Actions) {
+	s := b.servers[p.Server]
+	if s == nil {
+		return
+	}
+	if p.Status != OK {
+		b.failed(now, s, p.Status)
+		return
+	}
+	s.fails, s.lastOK = 0, now
+	q := queueOf(p.Load)
+	if q < 0 {
+		return
+	}
+	b.busy += smooth * (min(q, 1) - b.busy)
+	if b.newRound || q < b.threshold {
+		b.newRound, b.threshold = false, q
+		for _, t := range b.ready {
+			t.marked = t.marked && t.queue <= b.threshold
+		}
+	}
+	b.report(now, s, p.Load)
+	for i, r := range b.held {
+		if !slices.Contains(r.probed, s) {
+			continue
+		}
+		r.replies++
+		if r.replies == len(r.probed) && b.zonal && b.expected(s) > r.limit && b.credit >= probeSample {
+			r.probed = b.renew(r, b.ready[b.setSize:], act) // the own zone is full: look abroad
+			continue
+		}
+		if b.expected(s) <= r.limit {
+			// The first reply of its own round is the request's threshold, and so its mark. Waiting for a
+			// mark under the threshold of another request's round would refuse what could be served.
+			b.threshold, s.marked, s.markedAt = s.queue, true, now
+			b.held = slices.Delete(b.held, i, i+1)
+			r.patience = 0
+			b.send(now, r, []*server{s}, act)
+			break
+		}
+	}
+}
+
+// hasMark reports whether s has a mark that is not stale.
+func (b *Balancer) hasMark(now Time, s *server) bool { return s.marked && now-s.markedAt <= b.markLife }
+
+// report notes a load report. The tick of the design is the arrival of a report: the server is
+// marked if the figure is at or below the threshold. Figures are never used twice for marking,
+// which is how marks and thresholds of a sidecar that sends little stay fresh.
+func (b *Balancer) report(now Time, s *server, l *Load) {
+	q := queueOf(l)
+	if q < 0 {
+		return
+	}
+	s.queue, s.reported = q, true
+	s.marked, s.markedAt = s.State == Ready && s.queue <= b.threshold, now
+}
+
+// Outcome takes the end of an attempt.
+func (b *Balancer) Outcome(now Time, o Outcome, act Actions) {
+	if s := b.servers[o.Server]; s != nil {
+		if o.Status == OK {
+			s.fails, s.lastOK = 0, now
+		} else {
+			b.failed(now, s, o.Status)
+		}
+		b.report(now, s, o.Load)
+	}
+	r := b.requests[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || !r.attempts[o.Attempt].out {
+		return
+	}
+	a := &r.attempts[o.Attempt]
+	a.out, a.notRun = false, o.Status.NotRun()
+	r.out--
+	r.ended = r.ended || o.Closed
+	if o.Status == OK || o.Status == Timeout {
+		if at := b.delay.at(a.queue); at > 0 {
+			a.server.slowness += smooth * (min(float64(o.Delay)/at, 10) - a.server.slowness)
+		}
+		b.delay.learn(a.queue, float64(o.Delay)/a.server.slowness)
+	}
+	switch {
+	case r.ended:
+		b.cancelAll(r, act)
+		b.forget(r)
+	case r.out == 0 && !b.send(now, r, b.set(now), act):
+		b.finish(now, r, true, act)
+	}
+}
+
+// failed notes evidence against a server: it is left out of the ready set for a while that grows
+// with failures in a row. Guards against servers that err at once and so keep a short queue.
+func (b *Balancer) failed(now Time, s *server, st Status) {
+	s.marked = false
+	switch st {
+	case Canceled, Moot:
+		return
+	case Timeout, Full:
+		s.queue = math.Inf(1) // until it reports again
+	}
+	s.fails, b.busy = s.fails+1, 1
+	if st == Full || st == Timeout && (s.fails < 3 || now-s.lastOK < time.Second) {
+		return // may be the load: see set
+	}
+	s.ejected = now + min(firstEject<<min(s.fails-1, 10), max(b.cfg.Ramp, firstEject))
+}
+
+// set returns the ready set: the first servers in order of preference that are not ejected. When
+// more than half of all are ejected the evidence is against the network or the load, not
+// against servers, and ejections are ignored.
+func (b *Balancer) set(now Time) []*server {
+	set := make([]*server, 0, b.setSize)
+	bad := 0
+	for _, s := range b.ready {
+		if s.ejected > now {
+			bad++
+		} else if len(set) < b.setSize && b.warmth(now, s) == 1 {
+			set = append(set, s)
+		}
+	}
+	if 2*bad > len(b.ready) || len(set) == 0 {
+		set = append(set[:0], b.ready[:b.setSize]...)
+	}
+	return set
+}
+
+// coldTurn draws a place of the ready set, and returns the server there if it is cold, in proportion to
+// the least capacity it can have. An empty queue would make every probe round choose it; this way it
+// gets that part of what this sidecar sends a warm one, whatever its reports, and however many wait.
+func (b *Balancer) coldTurn(now Time) *server {
+	s := b.ready[b.rng.IntN(b.setSize)]
+	if w := b.warmth(now, s); w == 1 || s.ejected > now || b.rng.Float64() >= w {
+		return nil
+	}
+	return s
+}
+
+// send starts a further attempt of r if a legal one exists and reports whether it did, or whether
+// the request may still be held.
+func (b *Balancer) send(now Time, r *request, set []*server, act Actions) bool {
+	s := b.pick(now, r, set)
+	if s == nil {
+		s = b.pick(now, r, b.ready)
+	}
+	if s == nil {
+		return len(r.attempts) == 0 && len(b.ready) == 0 // hold until the list names a server
+	}
+	if c := b.coldTurn(now); c != nil && len(r.attempts) == 0 && b.maySend(now, r, c) {
+		s = c
+	}
+	s.marked = false
+	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, queue: s.queue}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	if len(r.attempts) == 1 {
+		b.earn(1 - refusedShare)
+	}
+	s.used, s.open = now, true
+	b.sweep(now, act)
+	act.Send(r.ID, s.ID, r.end-now)
+	return true
+}
+
+// sweep hangs up connections that cost more to hold than to open anew. An open one costs
+// ConnectionTariff/100 of a server's share, a handshake HandshakeTariff of a request's: they balance
+// after 100 x HandshakeTariff/ConnectionTariff requests of a server, whose rate follows by Little's
+// law from the delay and the requests it holds, assumed to be half as many as cores while all are idle.
+func (b *Balancer) sweep(now Time, act Actions) {
+	served := 100 * b.cfg.HandshakeTariff / max(b.cfg.ConnectionTariff, 1e-9)
+	hold := time.Duration(served * b.delay.delay / (assumedCores * (0.5 + b.busy)))
+	left := false
+	for _, s := range b.ready {
+		if s.open && b.cfg.ConnectionTariff > 0 && now-s.used >= hold {
+			s.open = false
+			act.HangUp(s.ID)
+		}
+		left = left || s.open
+	}
+	if left && !b.sweeping && b.cfg.ConnectionTariff > 0 && hold > 0 {
+		b.sweeping = true
+		act.SetTimer(hold, "sweep")
+	}
+}
+
+// pick draws a marked server of set at random, or else a server uniformly: of those that would answer
+// in time, if there are any, since a slow server that takes its even share collects an endless queue.
+func (b *Balancer) pick(now Time, r *request, set []*server) *server {
+	var marked, all, late []*server
+	for _, s := range set {
+		tried := slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
+		if !tried && b.maySend(now, r, s) && b.thin(now, r, s) {
+			if b.late(now, r, s) {
+				late = append(late, s)
+				continue
+			}
+			all = append(all, s)
+			if b.hasMark(now, s) {
+				marked = append(marked, s)
+			}
+		}
+	}
+	if len(r.attempts) > 0 {
+		late = nil // a further attempt that would be late as well only feeds the overload
+	}
+	for _, from := range [][]*server{marked, all, late} {
+		if len(from) > 0 {
+			return from[b.rng.IntN(len(from))]
+		}
+	}
+	return nil
+}
+
+// thin lets a request have a cold server for its first attempt only, and only a share of requests: that
+// of its least capacity. All picks for a request agree, so that asking twice does not double the share.
+func (b *Balancer) thin(now Time, r *request, s *server) bool {
+	w := b.warmth(now, s)
+	return w == 1 || len(r.attempts) == 0 && float64(hash(s.ID, uint64(r.ID))) < w*math.MaxUint64
+}
+
+// late reports whether r would miss its aim at s by the latest figures.
+func (b *Balancer) late(now Time, r *request, s *server) bool { return now+b.expected(s) > r.useful }
+
+// expected is the delay to expect of an answer of s: the common line of delay by reported queue,
+// times how much slower than it s has been.
+func (b *Balancer) expected(s *server) time.Duration {
+	q := s.queue
+	if !s.reported {
+		q = b.delay.queue
+	}
+	return time.Duration(min(b.delay.at(q)*s.slowness, float64(time.Hour)))
+}
+
+// warmth is the least share of its capacity that s has at now.
+func (b *Balancer) warmth(now Time, s *server) float64 {
+	if s.Started == 0 || now-s.Started >= b.cfg.Ramp {
+		return 1
+	}
+	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*float64(max(0, now-s.Started))/float64(b.cfg.Ramp)
+}
+
+// maySend is the one judge of whether the rules allow an attempt of r at s.
+func (b *Balancer) maySend(now Time, r *request, s *server) bool {
+	if r.ended || r.stream || s.State != Ready || now >= r.Expires || len(r.attempts) >= b.cfg.MaxAttempts ||
+		r.out > 0 && !b.cfg.MayDuplicate {
+		return false
+	}
+	for _, a := range r.attempts {
+		if a.notRun {
+			continue
+		}
+		c := r.class
+		switch {
+		case c.Effect == Unsafe:
+			return false
+		case c.Effect == Keyed && (now >= a.sent+c.KeyTTL-b.cfg.DialTimeout-b.cfg.Tick ||
+			c.Group == GroupZone && a.zone != s.Zone || c.Group == GroupCell && a.cell != s.Cell):
+			return false
+		}
+	}
+	return true
+}
+
+// mayRefuse is the one judge of whether a refusal, which promises that a retry is harmless, is true of r.
+func mayRefuse(r *request) bool {
+	return r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll ||
+		!slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.notRun })
+}
+
+// finish gives the final answer: a refusal where it is true and a retry could help, else a failure.
+func (b *Balancer) finish(now Time, r *request, retry bool, act Actions) {
+	b.cancelAll(r, act)
+	r.ended = true
+	if now < r.Expires {
+		r.class.owe(r)
+	}
+	if r.patience > 0 {
+		r.patience = 0
+		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+	}
+	if retry && mayRefuse(r) {
+		act.Refuse(r.ID, 0)
+	} else {
+		act.Fail(r.ID)
+	}
+	b.forget(r)
+}
+
+func (b *Balancer) cancelAll(r *request, act Actions) {
+	for i, a := range r.attempts {
+		if a.out && b.cfg.MayCancel && !a.canceled {
+			r.attempts[i].canceled = true
+			act.Cancel(r.ID, i)
+		}
+	}
+}
+
+// forget drops an ended request once all its attempts are back.
+func (b *Balancer) forget(r *request) {
+	if r.out == 0 {
+		delete(b.requests, r.ID)
+	}
+}
+
+// Streaming notes that the answer of r has begun.
+func (b *Balancer) Streaming(now Time, id RequestID, attempt int, act Actions) {
+	if r := b.requests[id]; r != nil {
+		r.stream = true
+	}
+}
+
+// Withdrawn notes that the client has left.
+func (b *Balancer) Withdrawn(now Time, id RequestID, act Actions) {
+	if r := b.requests[id]; r != nil && !r.ended {
+		r.ended = true
+		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+		b.cancelAll(r, act)
+		b.forget(r)
+	}
+}
+
+// Timer takes a timer that has fallen due.
+func (b *Balancer) Timer(now Time, tok string, act Actions) {
+	if tok == "watch" {
+		if !b.watching {
+			b.watching = true
+			act.Watch(true)
+		}
+		return
+	}
+	if tok == "sweep" {
+		b.sweeping = false
+		b.sweep(now, act)
+		return
+	}
+	id, _ := strconv.ParseUint(tok, 36, 64)
+	r := b.requests[RequestID(id)]
+	switch {
+	case r == nil || r.ended || r.stream:
+	case now >= r.end:
+		b.finish(now, r, false, act)
+	case r.patience > 0 && now >= r.patience:
+		b.finish(now, r, true, act)
+	}
+}
+
+// jitter draws a time below d.
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return time.Duration(b.rng.Float64() * float64(d))
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,447 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// recorder is an Actions that notes each action as a line of text.
+type recorder struct{ lines []string }
+
+func (r *recorder) note(format string, args ...any) {
+	r.lines = append(r.lines, fmt.Sprintf(format, args...))
+}
+
+func (r *recorder) Send(id RequestID, s ServerID, d time.Duration) { r.note("send %d %s", id, s) }
+func (r *recorder) Refuse(id RequestID, d time.Duration)           { r.note("refuse %d", id) }
+func (r *recorder) Fail(id RequestID)                              { r.note("fail %d", id) }
+func (r *recorder) Cancel(id RequestID, attempt int)               { r.note("cancel %d %d", id, attempt) }
+func (r *recorder) SetTimer(d time.Duration, token string)         { r.note("timer %v %s", d, token) }
+func (r *recorder) Probe(s ServerID)                               { r.note("probe %s", s) }
+func (r *recorder) HangUp(s ServerID)                              { r.note("hangup %s", s) }
+func (r *recorder) Watch(on bool)                                  { r.note("watch %v", on) }
+func (r *recorder) Log(text string)                                { r.note("log %s", text) }
+
+// take returns the lines that start with prefix and clears all.
+func (r *recorder) take(prefix string) []string {
+	got := slices.DeleteFunc(r.lines, func(l string) bool { return !strings.HasPrefix(l, prefix) })
+	r.lines = nil
+	return got
+}
+
+func testConfig() Config {
+	const s = time.Second
+	return Config{
+		GroupSize: 1, Zone: "a", MayProbe: true, MayCancel: true, MayDuplicate: true, MaxAttempts: 3,
+		DialTimeout: 100 * time.Millisecond, Tick: 5 * time.Millisecond, AskEvery: 10 * time.Second,
+		AnswerGrace: 20 * time.Millisecond, ColdFrom: 0.3, Ramp: 8 * time.Second, ProbeTariff: 0.01,
+		Classes: []Class{
+			{Name: "safe", Effect: Safe, Aim: 200 * time.Millisecond, Deadline: time.Second, Worth: 1},
+			{Name: "keyed", Effect: Keyed, KeyTTL: s / 3, Aim: s, Deadline: 2 * s},
+			{Name: "zonal", Effect: Keyed, Group: GroupZone, KeyTTL: s / 3, Aim: s, Deadline: 2 * s},
+			{Name: "cellular", Effect: Keyed, Group: GroupCell, KeyTTL: s, Aim: s, Deadline: 2 * s},
+			{Name: "unsafe", Effect: Unsafe, Aim: time.Second, Deadline: 2 * time.Second},
+		},
+	}
+}
+
+// start returns a balancer that knows n servers s0, s1, ... in zones a and b and cells of two.
+func start(t *testing.T, cfg Config, n int) (*Balancer, *recorder) {
+	t.Helper()
+	b, err := New(cfg, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []Server
+	for i := range n {
+		id := ServerID(fmt.Sprint("s", i))
+		list = append(list, Server{ID: id, Zone: string(rune('a' + i%2)), Cell: i / 2})
+	}
+	rec := &recorder{}
+	b.Members(0, ListCached, list, rec)
+	rec.take("")
+	return b, rec
+}
+
+func TestThresholdMarksAndSpending(t *testing.T) {
+	b, rec := start(t, testConfig(), 4)
+	b.Request(0, Request{ID: 1, Class: "safe", Expires: time.Second}, rec)
+	var probes []string
+	for _, l := range rec.lines {
+		if l[:5] == "probe" {
+			probes = append(probes, l[6:])
+		}
+	}
+	if len(probes) != probeSample {
+		t.Fatalf("probes = %v, want %d of them", probes, probeSample)
+	}
+	b.servers["s0"].marked, b.servers["s0"].queue = true, 9
+	rec.take("")
+	b.held = nil
+	b.Probed(0, ProbeResult{Server: "s1", Load: &Load{Queue: 5}}, rec)
+	b.Probed(0, ProbeResult{Server: "s2", Load: &Load{Queue: 3}}, rec)
+	if b.threshold != 3 {
+		t.Errorf("threshold = %v, want 3, the shortest of the round", b.threshold)
+	}
+	for id, want := range map[ServerID]bool{"s0": false, "s1": false, "s2": true, "s3": false} {
+		if got := b.servers[id].marked; got != want {
+			t.Errorf("%s marked = %v, want %v", id, got, want)
+		}
+	}
+	b.credit = -10 // no further round
+	b.Request(0, Request{ID: 2, Class: "safe", Expires: time.Second}, rec)
+	if got := rec.take("send"); !slices.Equal(got, []string{"send 2 s2"}) {
+		t.Errorf("sent %v, want the marked s2", got)
+	}
+	if b.servers["s2"].marked {
+		t.Error("the send did not spend its mark")
+	}
+}
+
+func TestRefuseAndSendLegality(t *testing.T) {
+	tests := []struct {
+		class     string
+		first     Status
+		again     []ServerID // servers that may get the second attempt
+		refusable bool
+	}{
+		{"safe", AppError, []ServerID{"s0", "s1", "s2", "s3"}, true},
+		{"keyed", AppError, []ServerID{"s0", "s1", "s2", "s3"}, true},
+		{"zonal", AppError, []ServerID{"s0", "s2"}, false},
+		{"cellular", Reset, []ServerID{"s0", "s1"}, false},
+		{"cellular", Full, []ServerID{"s0", "s1", "s2", "s3"}, true},
+		{"unsafe", AppError, nil, false},
+		{"unsafe", ConnectFailed, []ServerID{"s0", "s1", "s2", "s3"}, true},
+		{"unknown", Timeout, nil, false},
+	}
+	for _, tt := range tests {
+		b, _ := start(t, testConfig(), 4)
+		c := b.classes[tt.class]
+		if c == nil {
+			c = &class{Class: Class{Effect: Unsafe}}
+		}
+		s := b.servers["s0"]
+		r := &request{Request: Request{Expires: time.Second}, class: c}
+		r.attempts = []attempt{{server: s, zone: s.Zone, cell: s.Cell, notRun: tt.first.NotRun()}}
+		var again []ServerID
+		for _, id := range sortedKeys(b.servers) {
+			if b.maySend(0, r, b.servers[id]) {
+				again = append(again, id)
+			}
+		}
+		if !slices.Equal(again, tt.again) {
+			t.Errorf("%s after %v may go to %v, want %v", tt.class, tt.first, again, tt.again)
+		}
+		if got := mayRefuse(r); got != tt.refusable {
+			t.Errorf("%s after %v: mayRefuse = %v, want %v", tt.class, tt.first, got, tt.refusable)
+		}
+	}
+}
+
+func TestNoSecondCopyWhereForbidden(t *testing.T) {
+	cfg := testConfig()
+	for _, may := range []bool{true, false} {
+		cfg.MayDuplicate = may
+		b, _ := start(t, cfg, 2)
+		s := b.servers["s0"]
+		r := &request{Request: Request{Expires: time.Second}, class: b.classes["safe"], out: 1}
+		r.attempts = []attempt{{server: s, out: true}}
+		if got := b.maySend(0, r, b.servers["s1"]); got != may {
+			t.Errorf("MayDuplicate %v: maySend = %v", may, got)
+		}
+	}
+}
+
+// TestColdServerIsSentItsShare guards against pushing over a server that has just started: its queue is
+// short because it is new, so marks and probe rounds would choose it.
+func TestColdServerIsSentItsShare(t *testing.T) {
+	cfg := testConfig()
+	now := time.Minute
+	tests := []struct {
+		name    string
+		allCold bool
+		want    float64 // share of requests that s0 is sent
+	}{
+		{"one of two", false, cfg.ColdFrom / 2},
+		{"both", true, cfg.ColdFrom}, // at most; the rest is refused or goes to the other
+	}
+	for _, tc := range tests {
+		b, rec := start(t, cfg, 2)
+		cold := b.servers["s0"]
+		cold.Started = now
+		if tc.allCold {
+			b.servers["s1"].Started = now
+		}
+		const requests = 4000
+		sent := 0
+		for i := range requests {
+			for _, s := range b.ready {
+				s.marked, s.markedAt = true, now
+			}
+			r := &request{
+				Request: Request{ID: RequestID(i + 1), Expires: now + time.Second},
+				class:   b.classes["safe"], useful: now + time.Second, end: now + time.Second,
+			}
+			b.send(now, r, b.set(now), rec)
+			if n := len(r.attempts); n > 0 && r.attempts[0].server == cold {
+				sent++
+			}
+			again := b.send(now, r, b.set(now), rec)
+			if n := len(r.attempts); again && n > 1 && r.attempts[n-1].server == cold {
+				t.Fatalf("%s: a further attempt went to a cold server", tc.name)
+			}
+		}
+		if share := float64(sent) / requests; share > tc.want+0.03 || share < tc.want*0.8-0.03 {
+			t.Errorf("%s: cold server got a share of %.3f, want about %.3f", tc.name, share, tc.want)
+		}
+		if w := b.warmth(now+cfg.Ramp, cold); w != 1 {
+			t.Errorf("warmth after the ramp = %v, want 1", w)
+		}
+	}
+}
+
+// TestFailingServerIsLeftOut guards against a server that errs at once and so keeps a short queue.
+func TestFailingServerIsLeftOut(t *testing.T) {
+	b, rec := start(t, testConfig(), 4)
+	s := b.servers["s0"]
+	s.marked = true
+	b.failed(0, s, AppError)
+	if s.marked || slices.Contains(b.set(0), s) {
+		t.Error("a server that erred is still marked or in the ready set")
+	}
+	if !slices.Contains(b.set(firstEject), s) {
+		t.Error("the ejection does not end")
+	}
+	for _, id := range sortedKeys(b.servers) {
+		b.failed(0, b.servers[id], ConnectFailed)
+	}
+	if got := b.set(0); len(got) != b.setSize {
+		t.Errorf("with all ejected the ready set has %d servers, want %d", len(got), b.setSize)
+	}
+	rec.take("")
+}
+
+// TestHeldRequestIsRefusedWithoutReply guards against sending into queues that nobody can see past.
+func TestHeldRequestIsRefusedWithoutReply(t *testing.T) {
+	b, rec := start(t, testConfig(), 4)
+	b.Request(0, Request{ID: 1, Class: "safe", Expires: time.Second}, rec)
+	if got := rec.take("send"); len(got) != 0 {
+		t.Fatalf("sent %v on no figures at all", got)
+	}
+	b.Timer(b.requests[1].patience, token(1), rec)
+	if got := rec.take("refuse"); !slices.Equal(got, []string{"refuse 1"}) {
+		t.Errorf("got %v, want a refusal", got)
+	}
+	b.Request(0, Request{ID: 2, Class: "safe", Expires: time.Second}, rec)
+	probed := b.requests[2].probed[0].ID
+	rec.take("")
+	b.Probed(0, ProbeResult{Server: probed, Load: &Load{Queue: 1}}, rec)
+	if got := rec.take("send"); !slices.Equal(got, []string{"send 2 " + string(probed)}) {
+		t.Errorf("sent %v, want request 2 to go to %s, the first to reply", got, probed)
+	}
+}
+
+// TestBegan guards against work for a client's later try whose aim has passed, and against taking first
+// tries for late ones because the last try of a request gets longer.
+func TestBegan(t *testing.T) {
+	const ms = time.Millisecond
+	usual := []Request{{Expires: 400 * ms}, {Expires: 400 * ms}}
+	owed := &request{Request: Request{Tenant: "t", Key: "k"}, began: 100 * ms}
+	tests := []struct {
+		name   string
+		before []Request // at 0
+		owed   []*request
+		now    Time
+		q      Request
+		want   Time
+	}{
+		{"nothing known", nil, nil, 300 * ms, Request{Expires: 700 * ms}, 300 * ms},
+		{"a usual try", usual, nil, 300 * ms, Request{Expires: 700 * ms}, 300 * ms},
+		{"a last try gets longer", usual, nil, 300 * ms, Request{Expires: 1200 * ms}, 200 * ms},
+		{"a last try is cut short", usual, nil, 900 * ms, Request{Expires: 1000 * ms}, 0},
+		{"a retry of one owed", usual, []*request{owed}, 300 * ms,
+			Request{Expires: 700 * ms, Tenant: "t", Key: "k"}, 100 * ms},
+		{"of another key", usual, []*request{owed}, 300 * ms,
+			Request{Expires: 700 * ms, Tenant: "t"}, 300 * ms},
+		{"too late for it", usual, []*request{owed}, 800 * ms,
+			Request{Expires: 1200 * ms, Tenant: "t", Key: "k"}, 800 * ms},
+	}
+	for _, tc := range tests {
+		c := &class{Class: Class{Deadline: time.Second}}
+		for _, q := range tc.before {
+			c.began(0, q, 5*ms)
+		}
+		c.owed = tc.owed
+		if got := c.began(tc.now, tc.q, 5*ms); got != tc.want {
+			t.Errorf("%s: began %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// TestWorthlessTryIsFailedAtOnce guards against work for a retry of a request whose aim has passed.
+func TestWorthlessTryIsFailedAtOnce(t *testing.T) {
+	b, rec := start(t, testConfig(), 0)
+	b.Request(0, Request{ID: 1, Class: "safe", Expires: 500 * time.Millisecond}, rec)
+	b.Timer(b.requests[1].end, token(1), rec)
+	b.Request(210*time.Millisecond, Request{ID: 2, Class: "safe", Expires: 710 * time.Millisecond}, rec)
+	if got := rec.take("fail"); !slices.Equal(got, []string{"fail 1", "fail 2"}) {
+		t.Errorf("got %v, want both requests failed", got)
+	}
+}
+
+// TestReadySetsAreBalanced guards against connections from every sidecar to every server, and
+// against sets that fall on some servers more than on others.
+func TestReadySetsAreBalanced(t *testing.T) {
+	cfg := testConfig()
+	cfg.GroupSize, cfg.ConnectionTariff = 600, 0.08
+	count := map[ServerID]int{}
+	for i := range cfg.GroupSize {
+		cfg.Ordinal = i
+		b, _ := start(t, cfg, 40)
+		for _, s := range b.set(0) {
+			count[s.ID]++
+		}
+	}
+	want := cfg.GroupSize * minReadySet / 40
+	for id, n := range count {
+		if n < want*9/10 || n > want*11/10 {
+			t.Errorf("%s is in %d ready sets, want about %d", id, n, want)
+		}
+	}
+}
+
+func TestConfigOutOfRange(t *testing.T) {
+	tests := map[string]func(*Config){
+		"no group":         func(c *Config) { c.GroupSize = 0 },
+		"ordinal":          func(c *Config) { c.Ordinal = 1 },
+		"attempts":         func(c *Config) { c.MaxAttempts = 0 },
+		"cold share":       func(c *Config) { c.ColdFrom = 1.5 },
+		"negative ramp":    func(c *Config) { c.Ramp = -1 },
+		"negative tick":    func(c *Config) { c.Tick = -1 },
+		"aim":              func(c *Config) { c.Classes[0].Aim = 0 },
+		"aim and deadline": func(c *Config) { c.Classes[0].Deadline = 1 },
+		"worth":            func(c *Config) { c.Classes[0].Worth = -1 },
+	}
+	for name, change := range tests {
+		cfg := testConfig()
+		change(&cfg)
+		if _, err := New(cfg, 1); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// TestWarmKeysHaveHomes guards against spreading a key over servers that each have to learn it anew.
+func TestWarmKeysHaveHomes(t *testing.T) {
+	for _, warm := range []bool{false, true} {
+		cfg := testConfig()
+		cfg.WarmKeys = warm
+		b, rec := start(t, cfg, 12)
+		probed := map[string]bool{}
+		for id := range RequestID(20) {
+			b.Request(0, Request{ID: id + 1, Class: "safe", Key: "k", Expires: time.Second}, rec)
+			for _, p := range rec.take("probe") {
+				probed[p] = true
+			}
+		}
+		if homes := len(probed) == probeSample; homes != warm {
+			t.Errorf("warm keys %v: rounds for one key asked %d servers", warm, len(probed))
+		}
+	}
+}
+
+// TestProbesFollowNeed guards against paying for probes while every server is idle, and against
+// going without them once servers fail.
+func TestProbesFollowNeed(t *testing.T) {
+	cfg := testConfig()
+	cfg.ProbeTariff = probeSpend // one probe a request, at most
+	b, rec := start(t, cfg, 4)
+	id := RequestID(0)
+	probes := func(queue float64) (n int) {
+		for range 100 {
+			id++
+			b.Request(0, Request{ID: id, Class: "safe", Expires: time.Second}, rec)
+			for _, l := range rec.take("") {
+				if server, ok := strings.CutPrefix(l, "probe "); ok {
+					n++
+					b.Probed(0, ProbeResult{Server: ServerID(server), Load: &Load{Queue: queue}}, rec)
+				}
+			}
+		}
+		return n
+	}
+	waiting := probes(1)
+	probes(0)
+	calm := probes(0)
+	if calm*4 > waiting || calm == 0 {
+		t.Errorf("%d probes in wait, %d with all idle: want some, a quarter at most", waiting, calm)
+	}
+	b.Outcome(0, Outcome{ID: 999, Server: "s0", Status: AppError}, rec)
+	if b.busy != 1 {
+		t.Errorf("busy %v after a failure, want 1", b.busy)
+	}
+}
+
+// TestFirstPauseAfterABrokenWatch guards against incident rf8e670: after a watch that worked, the list is asked
+// for again soon; while calls go on failing, ever less often.
+func TestFirstPauseAfterABrokenWatch(t *testing.T) {
+	cfg := testConfig()
+	b, act := start(t, cfg, 2)
+	fail := func() time.Duration {
+		b.watching = true
+		act.take("")
+		b.Members(1, ListFailed, nil, act)
+		lines := act.take("timer ")
+		if len(lines) != 1 {
+			t.Fatalf("%d timers", len(lines))
+		}
+		d, err := time.ParseDuration(strings.Fields(lines[0])[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d
+	}
+	for round := range 20 {
+		if d := fail(); d > cfg.AskEvery/5 {
+			t.Errorf("first pause %v", d)
+		}
+		for range 3 {
+			fail()
+		}
+		if d := fail(); d < cfg.AskEvery/2 || d > 3*cfg.AskEvery/2 {
+			t.Errorf("fifth pause %v", d)
+		}
+		b.watching = true
+		b.Members(Time(2+round), ListDelta, nil, act)
+	}
+}
+
+// TestRecordsAreBounded: a fleet that keeps being replaced, and clients that keep being refused, leave nothing
+// behind.
+func TestRecordsAreBounded(t *testing.T) {
+	b, act := start(t, testConfig(), 0)
+	for i := range 1000 {
+		name := ServerID(fmt.Sprint("n", i))
+		b.Members(Time(i), ListDelta, []Server{{ID: name}}, act)
+		if i%2 == 0 {
+			b.Members(Time(i), ListDelta, []Server{{ID: name, State: Gone}}, act)
+		}
+	}
+	if len(b.servers) != 500 {
+		t.Errorf("%d records of 500 servers", len(b.servers))
+	}
+	b.Members(1000, ListFull, []Server{{ID: "only"}}, act)
+	if len(b.servers) != 1 || len(b.ready) != 1 {
+		t.Errorf("%d records and %d ready of one server", len(b.servers), len(b.ready))
+	}
+	c := b.classes["safe"]
+	for range 10 * mostOwed {
+		c.owe(&request{})
+	}
+	if len(c.owed) > mostOwed {
+		t.Errorf("%d requests are owed", len(c.owed))
+	}
+}
--- /dev/null
+++ b/policy/rules_test.go
@@ -0,0 +1,327 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// checker is an Actions that plays the host: it keeps what the rules need to judge each action, by
+// its own books and not by the balancer's, and reports breaches.
+type checker struct {
+	t        *testing.T
+	cfg      Config
+	now      Time
+	classes  map[string]Class
+	servers  map[ServerID]Server
+	drained  map[ServerID]bool // told draining or gone
+	requests map[RequestID]*openRequest
+	timers   []timerEvent
+	probes   []ServerID
+	log      []string
+	failed   bool
+}
+
+type timerEvent struct {
+	at    Time
+	token string
+}
+
+type openRequest struct {
+	Request
+	class    Class
+	attempts []openAttempt
+	answers  int
+	ended    bool
+}
+
+type openAttempt struct {
+	server Server
+	sent   Time
+	out    bool
+	status Status
+}
+
+func (c *checker) breach(format string, args ...any) {
+	c.t.Helper()
+	c.failed = true
+	c.t.Errorf("at %v: %s", c.now, fmt.Sprintf(format, args...))
+}
+
+func (c *checker) Send(id RequestID, s ServerID, timeout time.Duration) {
+	c.log = append(c.log, fmt.Sprint("send ", id, s, timeout))
+	r := c.requests[id]
+	srv, ok := c.servers[s]
+	switch {
+	case r == nil || r.ended:
+		c.breach("send for the ended or unknown request %d", id)
+		return
+	case !ok:
+		c.breach("send to the unknown server %s", s)
+		return
+	case c.drained[s]:
+		c.breach("send to %s, which drains or is gone", s)
+	case len(r.attempts) >= c.cfg.MaxAttempts:
+		c.breach("attempt %d of %d", len(r.attempts)+1, c.cfg.MaxAttempts)
+	}
+	for _, a := range r.attempts {
+		if a.out && !c.cfg.MayDuplicate {
+			c.breach("second copy of %d, which the site forbids", id)
+		}
+		proven := !a.out && (a.status == Full || a.status == ConnectFailed || a.status == Moot)
+		if proven || r.class.Effect == Safe {
+			continue
+		}
+		switch {
+		case r.class.Effect == Unsafe:
+			c.breach("unsafe request %d sent again", id)
+		case c.now > a.sent+r.class.KeyTTL:
+			c.breach("keyed request %d sent again %v after its first send", id, c.now-a.sent)
+		case r.class.Group == GroupZone && a.server.Zone != srv.Zone,
+			r.class.Group == GroupCell && a.server.Cell != srv.Cell:
+			c.breach("keyed request %d sent outside its group", id)
+		}
+	}
+	r.attempts = append(r.attempts, openAttempt{server: srv, sent: c.now, out: true})
+}
+
+func (c *checker) answer(id RequestID) *openRequest {
+	r := c.requests[id]
+	if r == nil {
+		c.breach("answer to the unknown request %d", id)
+		return nil
+	}
+	if r.ended {
+		c.breach("second answer to request %d", id)
+	}
+	if c.now > r.Expires+c.cfg.AnswerGrace {
+		c.breach("answer to request %d comes %v late", id, c.now-r.Expires)
+	}
+	r.ended = true
+	return r
+}
+
+func (c *checker) Refuse(id RequestID, d time.Duration) {
+	c.log = append(c.log, fmt.Sprint("refuse ", id, d))
+	r := c.answer(id)
+	if r == nil || r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll {
+		return
+	}
+	for _, a := range r.attempts {
+		if a.out || a.status != Full && a.status != ConnectFailed && a.status != Moot {
+			c.breach("request %d may have run and is refused", id)
+		}
+	}
+}
+
+func (c *checker) Fail(id RequestID) {
+	c.log = append(c.log, fmt.Sprint("fail ", id))
+	c.answer(id)
+}
+
+func (c *checker) Cancel(id RequestID, attempt int) {
+	c.log = append(c.log, fmt.Sprint("cancel ", id, attempt))
+	if r := c.requests[id]; r == nil || attempt >= len(r.attempts) {
+		c.breach("cancel of attempt %d of %d, which was never made", attempt, id)
+	}
+	if !c.cfg.MayCancel {
+		c.breach("cancel where the site forbids it")
+	}
+}
+
+func (c *checker) SetTimer(d time.Duration, token string) {
+	c.log = append(c.log, fmt.Sprint("timer ", d, token))
+	if d > 71*time.Minute || token == "" || len(token) > 64 {
+		c.breach("timer of %v named %q", d, token)
+	}
+	c.timers = append(c.timers, timerEvent{c.now + max(d, c.cfg.Tick), token})
+}
+
+func (c *checker) Probe(s ServerID) {
+	c.log = append(c.log, fmt.Sprint("probe ", s))
+	if !c.cfg.MayProbe {
+		c.breach("probe where the site forbids it")
+	}
+	if _, ok := c.servers[s]; !ok {
+		c.breach("probe of the unknown server %s", s)
+	}
+	c.probes = append(c.probes, s)
+}
+
+func (c *checker) HangUp(s ServerID) {
+	c.log = append(c.log, fmt.Sprint("hangup ", s))
+	if _, ok := c.servers[s]; !ok {
+		c.breach("hang-up of the unknown server %s", s)
+	}
+}
+
+func (c *checker) Watch(on bool)   { c.log = append(c.log, fmt.Sprint("watch ", on)) }
+func (c *checker) Log(text string) { c.log = append(c.log, "log "+text) }
+
+// play runs a random legal sequence of events drawn from seed and returns the actions taken.
+func play(t *testing.T, seed uint64, steps int) []string {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	cfg := testConfig()
+	cfg.GroupSize = 1 + rng.IntN(20)
+	cfg.Ordinal = rng.IntN(cfg.GroupSize)
+	cfg.MayProbe, cfg.MayCancel, cfg.MayDuplicate = rng.IntN(4) > 0, rng.IntN(4) > 0, rng.IntN(3) > 0
+	cfg.MaxAttempts = 1 + rng.IntN(5)
+	cfg.ConnectionTariff, cfg.HandshakeTariff = 0.05*float64(rng.IntN(2)), 0.05
+	for i := range cfg.Classes {
+		cfg.Classes[i].LateShare = 0.5 * float64(rng.IntN(2))
+	}
+	b, err := New(cfg, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &checker{
+		t: t, cfg: cfg, classes: map[string]Class{}, servers: map[ServerID]Server{},
+		drained: map[ServerID]bool{}, requests: map[RequestID]*openRequest{},
+	}
+	for _, cl := range cfg.Classes {
+		c.classes[cl.Name] = cl
+	}
+	update := func(kind ListKind, list []Server) {
+		if kind == ListFailed {
+			list = nil
+		}
+		if kind == ListFull || kind == ListCached {
+			for id := range c.servers {
+				c.drained[id] = true
+			}
+		}
+		for _, s := range list {
+			c.servers[s.ID], c.drained[s.ID] = s, s.State != Ready
+		}
+		b.Members(c.now, kind, list, c)
+	}
+	draw := func(n int) (list []Server) {
+		for range n {
+			i := rng.IntN(8)
+			s := Server{ID: ServerID(fmt.Sprint("s", i)), Zone: string(rune('a' + i%2)), Cell: i / 2}
+			s.State = ServerState(max(0, rng.IntN(5)-2))
+			if rng.IntN(3) == 0 {
+				s.Started = max(1, c.now-time.Duration(rng.IntN(9))*time.Second)
+			}
+			if !slices.ContainsFunc(list, func(o Server) bool { return o.ID == s.ID }) {
+				list = append(list, s)
+			}
+		}
+		return list
+	}
+	load := func() *Load {
+		if rng.IntN(3) == 0 {
+			return nil
+		}
+		return &Load{Queue: float64(rng.IntN(30)) - 1, Latency: 20, ErrorRate: -1}
+	}
+	settle := func(r *openRequest, i int, status Status) {
+		a := &r.attempts[i]
+		a.out, a.status = false, status
+		if status == OK {
+			r.ended = true
+		}
+		b.Outcome(c.now, Outcome{
+			ID: r.ID, Attempt: i, Server: a.server.ID, Status: status, Delay: c.now - a.sent,
+			Closed: r.ended, Load: load(),
+		}, c)
+	}
+	update(ListCached, draw(rng.IntN(9)))
+	var ids []RequestID
+	for step := range steps {
+		c.now += cfg.Tick * time.Duration(1+rng.IntN(4))
+		due := slices.Clone(c.timers)
+		c.timers = c.timers[:0]
+		for _, e := range due {
+			if e.at <= c.now {
+				b.Timer(c.now, e.token, c)
+			} else {
+				c.timers = append(c.timers, e)
+			}
+		}
+		for _, id := range ids { // the host's own time-out at the client's deadline
+			r := c.requests[id]
+			if !r.ended && c.now > r.Expires+cfg.AnswerGrace {
+				c.breach("request %d got no answer in time", id)
+				return c.log
+			}
+			for i := range r.attempts {
+				if r.attempts[i].out && c.now >= r.Expires {
+					settle(r, i, Timeout)
+				}
+			}
+		}
+		switch rng.IntN(12) {
+		case 0:
+			update(ListKind(rng.IntN(4)), draw(rng.IntN(5)))
+		case 1, 2, 3, 4:
+			name := "unheard-of"
+			if k := rng.IntN(len(cfg.Classes) + 1); k < len(cfg.Classes) {
+				name = cfg.Classes[k].Name
+			}
+			cl, ok := c.classes[name]
+			if !ok {
+				cl = Class{Effect: Unsafe}
+			}
+			id := RequestID(step + 1)
+			patience := time.Duration(1+rng.IntN(900)) * time.Millisecond
+			q := Request{ID: id, Class: name, Expires: c.now + patience}
+			c.requests[id] = &openRequest{Request: q, class: cl}
+			ids = append(ids, id)
+			b.Request(c.now, q, c)
+		case 5:
+			if len(ids) > 0 {
+				r := c.requests[ids[rng.IntN(len(ids))]]
+				r.ended = true
+				b.Withdrawn(c.now, r.ID, c)
+			}
+		case 6, 7:
+			if len(c.probes) > 0 {
+				p := c.probes[0]
+				c.probes = c.probes[1:]
+				b.Probed(c.now, ProbeResult{Server: p, Status: Status(rng.IntN(8)), Load: load()}, c)
+			}
+		default:
+			if len(ids) == 0 {
+				continue
+			}
+			r := c.requests[ids[len(ids)-1-rng.IntN(min(len(ids), 5))]]
+			for i := range r.attempts {
+				if r.attempts[i].out {
+					settle(r, i, Status(rng.IntN(8)))
+					break
+				}
+			}
+		}
+		if c.failed {
+			return c.log
+		}
+	}
+	return c.log
+}
+
+// TestRulesOnRandomEvents guards rules 1 to 3 and the wire's obligations on every path.
+func TestRulesOnRandomEvents(t *testing.T) {
+	for seed := range uint64(300) {
+		play(t, seed, 400)
+		if t.Failed() {
+			t.Fatalf("with seed %d", seed)
+		}
+	}
+}
+
+// TestEqualEventsGiveEqualActions guards against clocks, map order and shared state.
+func TestEqualEventsGiveEqualActions(t *testing.T) {
+	for seed := range uint64(20) {
+		if !slices.Equal(play(t, seed, 400), play(t, seed, 400)) {
+			t.Fatalf("seed %d: two runs differ", seed)
+		}
+	}
+}
+
+func FuzzRules(f *testing.F) {
+	f.Add(uint64(1))
+	f.Fuzz(func(t *testing.T, seed uint64) { play(t, seed, 400) })
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,190 @@
+package policy
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// validate reports what in cfg is out of range.
+func (cfg Config) validate() error {
+	switch {
+	case cfg.GroupSize < 1 || cfg.Ordinal < 0 || cfg.Ordinal >= cfg.GroupSize:
+		return fmt.Errorf("policy: ordinal %d outside a group of %d", cfg.Ordinal, cfg.GroupSize)
+	case cfg.MaxAttempts < 1:
+		return errors.New("policy: MaxAttempts below 1")
+	case !(cfg.ColdFrom >= 0 && cfg.ColdFrom <= 1) || cfg.Ramp < 0:
+		return errors.New("policy: ColdFrom outside 0..1 or negative Ramp")
+	case cfg.Tick < 0 || cfg.AskEvery < 0 || cfg.AnswerGrace < 0 || cfg.DialTimeout < 0:
+		return errors.New("policy: negative time in Config")
+	}
+	for _, c := range cfg.Classes {
+		if c.Aim <= 0 || c.Deadline < c.Aim || c.Worth < 0 || c.KeyTTL < 0 {
+			return fmt.Errorf("policy: class %q: aim, deadline, worth or window out of range", c.Name)
+		}
+	}
+	return nil
+}
+
+type class struct {
+	Class
+	usual time.Duration // the time that clients give most tries; the last one gets all that is left
+	votes int           // by how many the tries of the usual time lead
+	owed  []*request    // ended unanswered while their clients go on: a try of each may follow
+}
+
+// minVotes tells that the usual time of a try is known.
+const minVotes = 2
+
+// began estimates when the request began of which q is a try, as few clients mark their retries. A last
+// try, which gets all the time that is left of the deadline rather than the usual, tells it exactly.
+// Another is taken for a retry of a request owed to the same tenant and key, if one could come now.
+func (c *class) began(now Time, q Request, tick time.Duration) Time {
+	left := q.Expires - now
+	near := (left - c.usual).Abs() <= 2*tick
+	known := c.votes >= minVotes
+	switch { // the majority vote of Boyer and Moore
+	case near:
+		c.votes = min(c.votes+1, 4*minVotes)
+	case c.votes == 0:
+		c.usual, c.votes = left, 1
+	default:
+		c.votes--
+	}
+	c.owed = slices.DeleteFunc(c.owed, func(r *request) bool { return now > r.began+c.Deadline })
+	for i, r := range c.owed {
+		if r.Tenant == q.Tenant && r.Key == q.Key && q.Expires <= r.began+c.Deadline+2*tick {
+			c.owed = slices.Delete(c.owed, i, i+1)
+			return r.began
+		}
+	}
+	if known && !near {
+		return min(now, max(now, q.Expires)-c.Deadline)
+	}
+	return now
+}
+
+// mostOwed bounds the requests that are owed; the oldest are the first whose clients give up.
+const mostOwed = 1000
+
+// owe notes that r ended unanswered while its client goes on.
+func (c *class) owe(r *request) {
+	if len(c.owed) >= mostOwed {
+		c.owed = slices.Delete(c.owed, 0, len(c.owed)-mostOwed+1)
+	}
+	c.owed = append(c.owed, r)
+}
+
+type server struct {
+	Server
+	queue    float64 // latest reported queue
+	reported bool
+	marked   bool
+	markedAt Time
+	fails    int // failures in a row
+	lastOK   Time
+	used     Time    // the last send
+	open     bool    // a connection may be open
+	slowness float64 // smoothed: delay of its answers over that expected
+	ejected  Time
+}
+
+// assumedCores is how many requests a server works on at once, which is not told, until the
+// answers have taught the slope: two is the least that has any.
+const assumedCores = 2
+
+// delayModel is a running least-squares line of the delay of answers by the queue that the server had
+// reported when they were sent. Stale figures flatten the line by themselves, and so count for less.
+type delayModel struct {
+	queue, delay, variance, covariance float64
+}
+
+// learn takes one answer.
+func (m *delayModel) learn(queue, delay float64) {
+	if math.IsInf(queue, 1) {
+		return
+	}
+	if m.delay == 0 {
+		m.queue, m.delay = queue, delay
+	}
+	dq, dd := queue-m.queue, delay-m.delay
+	m.queue += smooth * dq
+	m.delay += smooth * dd
+	m.variance = (1 - smooth) * (m.variance + smooth*dq*dq)
+	m.covariance = (1 - smooth) * (m.covariance + smooth*dq*dd)
+}
+
+// at is the delay to expect at a reported queue. Until queues have varied by a request or so the
+// slope is that of assumedCores.
+func (m *delayModel) at(queue float64) float64 {
+	prior := m.delay / (1 + m.queue/assumedCores) / assumedCores
+	slope := max(0, (m.covariance+prior)/(m.variance+1))
+	return max(m.delay+slope*(queue-m.queue), m.delay/4)
+}
+
+// queueOf is the queue of JBT-d: all that a server holds, where it tells. Those that take many requests
+// at once are slow long before any of them waits. It is negative if l tells neither.
+func queueOf(l *Load) float64 {
+	if l == nil {
+		return -1
+	}
+	return max(l.Queue, l.Inflight)
+}
+
+type attempt struct {
+	server   *server
+	zone     string
+	cell     int
+	canceled bool
+	sent     Time
+	queue    float64 // that the server had reported
+	out      bool    // no outcome yet
+	notRun   bool    // proven never to have run
+}
+
+type request struct {
+	Request
+	class    *class
+	limit    time.Duration // an expected delay over it means refusal
+	began    Time          // when the client first asked, as far as can be told
+	useful   Time          // an answer after this has lost worth
+	end      Time          // a final answer is given then at the latest
+	patience Time          // while held: a refusal is given then
+	probed   []*server     // by the round it has started
+	replies  int           // of them, to all its rounds
+	attempts []attempt
+	out      int
+	ended    bool
+	stream   bool // the answer has begun; the client has it
+}
+
+func token(id RequestID) string { return strconv.FormatUint(uint64(id), 36) }
+
+// byHash sorts servers by a hash of their ID and salt.
+func byHash(list []*server, salt uint64) {
+	slices.SortFunc(list, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(hash(x.ID, salt), hash(y.ID, salt)), cmp.Compare(x.ID, y.ID))
+	})
+}
+
+func hash(id ServerID, salt uint64) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	x := h.Sum64() ^ salt*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	return x ^ x>>31
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
