--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -27,7 +27,7 @@
 const (
 	usualMemoryMB = 128
 	usualSockets  = 1024
-	leastMemoryMB = 64
+	leastMemoryMB = 24 // scored days give 32 and more; the runtime and a full table of connections take about 16
 	leastSockets  = 64
 )
 
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -19,6 +19,11 @@
 		c.Sockets != 256 || len(c.Known.Hosts) != 1 || len(c.Settings.Config.Classes) != 3 {
 		t.Errorf("configuration %+v", c)
 	}
+	// Guards against asking for more than small machines have: it would end the program at its start.
+	small := strings.Replace(good, `"memory_mb":128`, `"memory_mb":32`, 1)
+	if c, err := loadText(t, small); err != nil || c.MemoryMB != 32 {
+		t.Errorf("32 MB: %d, %v", c.MemoryMB, err)
+	}
 	tests := []struct{ name, old, new, want string }{
 		{"malformed", `{"name"`, `{"name`, "GW_CONFIG"},
 		{"no listen", `"listen":"127.0.0.1:0"`, `"listen":""`, "listen"},
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/url"
 	"sync"
@@ -67,8 +66,8 @@
 	target   *url.URL
 	host     string
 	header   http.Header
-	body     net.Buffers // in parts, so that one of unknown length need not be copied to grow
-	free     func()      // gives the room of body back
+	body     []byte
+	free     func() // gives the room of body back
 	answer   chan answer
 	attempts []*attempt
 	out      int
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -20,15 +20,11 @@
 )
 
 const (
-	// mostBody is the longest body that a request may have.
-	mostBody = 32 << 20
-	// shortBody is the longest body that need not queue for the place of a long one. Sockets can take nearly as
-	// much before anything is read.
-	shortBody = 4 << 20
-	// segment is the longest body that counts as small, and by how much one of unknown length grows.
-	segment = 64 << 10
-	// firstSegment is what a body of unknown length has room for at first.
-	firstSegment = 8 << 10
+	// mostBody is the longest body that a message may have, by the protocol. Guards against clients that announce or
+	// send megabytes: what is over it is answered at once and not read.
+	mostBody = 64 << 10
+	// bodyShare is the part of the memory limit that bodies may hold, one over bodyShare.
+	bodyShare = 8
 	// headTime is how long a client may take to write a head, counted from the start of a new connection. Clients
 	// take up to 2 s. It guards against connections on which nothing ever comes: they hold descriptors.
 	headTime = 3 * time.Second
@@ -37,10 +33,9 @@
 	quietLeast = 250 * time.Millisecond
 	// idleTime is how long a client's connection may stand idle.
 	idleTime = 2 * time.Minute
-	// bodyTime and bodyRate bound how long a client may take to write a body. They guard against clients that
-	// hold room and a descriptor for ever.
-	bodyTime = 10 * time.Second
-	bodyRate = 32 << 10 // bytes a second
+	// bodyTime is how long a client may take to write a body. It guards against clients that hold room and a
+	// descriptor for ever. One on a link so slow that 64 KiB take longer would be cut off wrongly.
+	bodyTime = 2 * time.Second
 	// writeTime is how long a client may take none of its answer.
 	writeTime = 10 * time.Second
 	// mostClientHead bounds a request's head.
@@ -49,106 +44,16 @@
 	mostWait = time.Minute
 )
 
-// room is the memory for the bodies of requests. A body's whole length is reserved before it is read. What the kernel
-// can take whole must not queue behind longer bodies: its client's time runs once the client has written it. So
-// small bodies, those of some megabytes, and long ones each have room of their own.
-type room struct {
-	small  *semaphore.Weighted // bytes
-	medium *semaphore.Weighted // bytes
-	long   *semaphore.Weighted // one place, for mostBody bytes
-}
-
-func newRoom(memoryMB int) *room {
-	bytes := int64(memoryMB) << 20
-	return &room{semaphore.NewWeighted(bytes / 16), semaphore.NewWeighted(bytes / 4), semaphore.NewWeighted(1)}
-}
-
-// reserve waits for room for a body of n bytes.
-func (m *room) reserve(ctx context.Context, n int64) (*reservation, error) {
-	v := &reservation{room: m}
-	switch {
-	case n == 0:
-		return v, nil
-	case n > shortBody:
-		return v, v.lengthen(ctx)
-	case n > segment:
-		v.medium = n
-		return v, m.medium.Acquire(ctx, n)
-	}
-	v.small = n
-	return v, m.small.Acquire(ctx, n)
-}
-
-// reservation is the room of one body.
-type reservation struct {
-	room          *room
-	small, medium int64 // bytes
-	long          bool  // has the place for a long body
-}
-
-// lengthen waits for the place for a long body. Guards against bodies that hold room and wait for each other's:
-// whoever has the place has all the room that it can need, and gives it back in the end.
-func (v *reservation) lengthen(ctx context.Context) error {
-	if v.long {
-		return nil
-	}
-	if err := v.room.long.Acquire(ctx, 1); err != nil {
-		return err
-	}
-	v.long = true
-	return nil
-}
-
-// grow makes room for n more bytes of a body whose length is not known before its end.
-func (v *reservation) grow(ctx context.Context, n int64) error {
-	if v.long || v.medium+n > shortBody || !v.room.medium.TryAcquire(n) {
-		return v.lengthen(ctx)
-	}
-	v.medium += n
-	return nil
-}
-
-// free gives the room back.
-func (v *reservation) free() {
-	v.room.small.Release(v.small)
-	v.room.medium.Release(v.medium)
-	if v.long {
-		v.room.long.Release(1)
-	}
-	*v = reservation{room: v.room}
-}
-
-// readChunked reads a body of unknown length, and makes room for it as it comes.
-func (v *reservation) readChunked(ctx context.Context, body io.Reader) (parts net.Buffers, err error) {
-	part := make([]byte, v.small)
-	for {
-		n, err := io.ReadFull(body, part)
-		parts = append(parts, part[:n])
-		if err == io.EOF || err == io.ErrUnexpectedEOF {
-			return parts, bodyEnd(body)
-		}
-		if err != nil {
-			return nil, err
-		}
-		if err := v.grow(ctx, segment); err != nil {
-			return nil, err
-		}
-		part = make([]byte, segment)
-	}
-}
-
-// bodyEnd tells the proper end of a body from one that broke off: io.ReadFull reports both alike.
-func bodyEnd(body io.Reader) error {
-	if _, err := body.Read(make([]byte, 1)); err != io.EOF {
-		return io.ErrUnexpectedEOF
-	}
-	return nil
+// newRoom returns the room for the bodies of requests, in bytes. A body's whole length is reserved before it is read:
+// however many clients write at once, their bodies hold a fixed part of the memory, and others wait in the kernel.
+func newRoom(memoryMB int) *semaphore.Weighted {
+	return semaphore.NewWeighted(max(int64(memoryMB)<<20/bodyShare, mostBody))
 }
 
 // clients is the handler of the client's requests.
 type clients struct {
 	host *host
-	room *room
+	room *semaphore.Weighted // bytes
 }
 
 // ServeHTTP answers one request. Paths go on byte for byte, which a ServeMux would not let them.
@@ -212,50 +117,48 @@
 	return r, event, timeout, nil
 }
 
-// readBody reads the body once there is room for it: until then it is left unread, and the client's time has
-// not begun. If it returns false the request has been dealt with.
+// readBody reads the body once there is room for it. If it returns false the request has been dealt with.
 func (s *clients) readBody(w http.ResponseWriter, q *http.Request, r *request) bool {
 	n := q.ContentLength
-	if n > mostBody {
-		w.Header().Set("Connection", "close")
-		http.Error(w, "the body is over 32 MB", http.StatusRequestEntityTooLarge)
+	if n < 0 {
+		n = mostBody // its length shows at its end
+	}
+	reject := func(status int, text string) bool {
+		w.Header().Set("Connection", "close") // what is left of the body is not read
+		http.Error(w, text, status)
 		return false
 	}
-	chunked := n < 0
-	if chunked {
-		n = firstSegment // its length shows at its end
+	if n > mostBody {
+		return reject(http.StatusRequestEntityTooLarge, "the body is over 64 KiB")
 	}
-	v, err := s.room.reserve(q.Context(), n)
-	if err != nil {
-		return false // the client has gone, and nothing is reserved
+	ctx, cancel := context.WithTimeout(q.Context(), bodyTime)
+	defer cancel()
+	if s.room.Acquire(ctx, n) != nil {
+		return reject(http.StatusServiceUnavailable, "no room for the body")
 	}
-	r.free = v.free
+	r.free = func() { s.room.Release(n) }
 	if n == 0 {
 		return true
 	}
 	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Now().Add(bodyTime + time.Duration(n)*time.Second/bodyRate))
-	if chunked {
-		rc.SetReadDeadline(time.Now().Add(bodyTime + mostBody*time.Second/bodyRate))
-		r.body, err = v.readChunked(q.Context(), http.MaxBytesReader(w, q.Body, mostBody))
+	rc.SetReadDeadline(time.Now().Add(bodyTime))
+	var err error
+	if q.ContentLength >= 0 {
+		r.body = make([]byte, n)
+		_, err = io.ReadFull(q.Body, r.body)
 	} else {
-		whole := make([]byte, n)
-		_, err = io.ReadFull(q.Body, whole)
-		r.body = net.Buffers{whole}
+		r.body, err = io.ReadAll(http.MaxBytesReader(w, q.Body, mostBody))
 	}
 	if err == nil {
 		rc.SetReadDeadline(time.Time{})
 		return true
 	}
 	r.free()
-	w.Header().Set("Connection", "close")
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
-		http.Error(w, "the body is over 32 MB", http.StatusRequestEntityTooLarge)
-	} else {
-		http.Error(w, "the body did not come whole", http.StatusBadRequest)
+		return reject(http.StatusRequestEntityTooLarge, "the body is over 64 KiB")
 	}
-	return false
+	return reject(http.StatusBadRequest, "the body did not come whole")
 }
 
 // write writes the final answer.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -401,12 +401,8 @@
 	header := maps.Clone(r.header)
 	header["X-Timeout-Ms"] = []string{strconv.FormatInt(max(1, time.Until(a.deadline).Milliseconds()), 10)}
 	q := &http.Request{Method: r.method, URL: r.target, Host: r.host, Header: header}
-	for _, part := range r.body {
-		q.ContentLength += int64(len(part))
-	}
-	if q.ContentLength > 0 {
-		body := slices.Clone(r.body) // reading uses it up
-		q.Body = io.NopCloser(&body)
+	if len(r.body) > 0 {
+		q.ContentLength, q.Body = int64(len(r.body)), io.NopCloser(bytes.NewReader(r.body))
 	} else if r.method != http.MethodGet {
 		q.Body = http.NoBody
 	}
