Hold client connections ourselves, and turn away what may not be served

Its server also keeps a connection for half a second after turning a request away, reads pipelined requests in turn, and cannot tell a head in part from silence. legal() let unknown classes, deadlines that are no number, foreign methods and ids that were already open pass. Streaming passed on answers far over the protocol's 64 KiB.

Change: a connection loop of our own over net/http's parser (server.go), a check of heads as they came (head.go), one open request an id (host.go), whole answers only (upstream.go), and a rank by which connections make room. Ruled out: a filter under net/http's server, which would have had to follow bodies too and left the half second.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -69,8 +69,10 @@
 	quietTime = 3 * time.Second
 	// discoveryDial is how long the connection to discovery may take.
 	discoveryDial = 2 * time.Second
+	// mostHead bounds the head of discovery's answer.
+	mostHead = 64 << 10
 	// mostLine bounds a line of a watch.
-	mostLine = 4 << 20
+	mostLine = 1 << 20
 )
 
 // Watch is a method of policy.Actions. A watch ends in one ListFailed, unless it is called off; when to ask
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -28,9 +27,8 @@
 	cfg    Config
 	log    *slog.Logger
 	host   *host
-	server *http.Server
+	server *server
 	socks  *sockets
-	quiet  *quietClients
 	stop   context.CancelFunc
 }
 
@@ -46,12 +44,12 @@
 func newSidecar(cfg Config, b module, log *slog.Logger) *Sidecar {
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Sidecar{
-		cfg: cfg, log: log, socks: newSockets(cfg.Sockets), quiet: &quietClients{since: map[*clientConn]time.Time{}}, stop: stop,
+		cfg: cfg, log: log, socks: newSockets(cfg.Sockets), stop: stop,
 	}
 	up := newUpstreams(cfg.Settings.Config, s.socks)
-	s.socks.evict = []func() bool{func() bool { return up.closeIdle(0, 1) > 0 }, s.quiet.evict}
 	s.host = newHost(ctx, cfg, b, up, log)
-	s.server = newServer(&clients{host: s.host, room: newRoom(cfg.MemoryMB)}, s.quiet, log)
+	s.server = newServer(s.host, cfg.MemoryMB, s.socks, log)
+	s.socks.evict = []func() bool{func() bool { return up.closeIdle(0, 1) > 0 }, s.server.evict}
 	go up.sweep(ctx)
 	return s
 }
@@ -69,7 +67,7 @@
 	defer s.stop()
 	backlog := &backlog{TCPListener: ln}
 	served := make(chan error, 1)
-	go func() { served <- s.server.Serve(&listener{backlog, context.Background(), s.socks}) }()
+	go func() { served <- s.server.Serve(backlog) }()
 	s.log.Info("ready", "name", s.cfg.Name, "listen", ln.Addr().String(), "load", s.host.String())
 	select {
 	case err := <-served:
@@ -79,7 +77,7 @@
 	s.log.Info("draining", "load", s.host.String())
 	// Answers close their connections from here on, and idle ones are closed: a request that crosses that comes
 	// again on a new connection, which is still accepted.
-	s.server.SetKeepAlivesEnabled(false)
+	s.server.drain()
 	end, cancel := context.WithTimeout(context.Background(), drainWindow+s.host.longest+drainSlack)
 	defer cancel()
 	backlog.drain(time.Now().Add(drainWindow))
@@ -87,8 +85,8 @@
 	case <-served: // the backlog is empty
 	case <-end.Done():
 	}
-	err := s.server.Shutdown(end)
-	s.log.Info("drained", "load", s.host.String(), "err", err)
+	s.log.Info("drained", "load", s.host.String(), "all_ended", s.server.wait(end))
+	s.server.closeAll()
 	return nil
 }
 
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -25,7 +25,6 @@
 type module interface {
 	Members(policy.Time, policy.ListKind, []policy.Server, policy.Actions)
 	Request(policy.Time, policy.Request, policy.Actions)
-	Streaming(policy.Time, policy.RequestID, int, policy.Actions)
 	Outcome(policy.Time, policy.Outcome, policy.Actions)
 	Probed(policy.Time, policy.ProbeResult, policy.Actions)
 	Withdrawn(policy.Time, policy.RequestID, policy.Actions)
@@ -48,6 +47,7 @@
 	mu        sync.Mutex
 	balancer  module
 	requests  map[policy.RequestID]*request // until they have ended and their attempts are back
+	open      map[string]*request           // by X-Request-ID, until they have ended
 	lastID    policy.RequestID
 	dials     map[policy.ServerID]string // addresses of the upstreams that are listed
 	seq       int64                      // of the last list message
@@ -62,6 +62,7 @@
 // request is one request of a client, from its last byte until all its attempts are back.
 type request struct {
 	id       policy.RequestID
+	key      string // the client's X-Request-ID
 	method   string
 	target   *url.URL
 	host     string
@@ -72,8 +73,6 @@
 	attempts []*attempt
 	out      int
 	ended    bool
-	owner    *attempt    // the one whose answer is passed on as it comes
-	began    policy.Time // when that answer began
 }
 
 // answer is the final answer to a request.
@@ -81,15 +80,14 @@
 	status     int
 	retryAfter time.Duration
 	header     http.Header
-	body       []byte // whole, or the beginning of what stream goes on with
-	stream     *stream
+	body       []byte
 }
 
 func newHost(ctx context.Context, cfg Config, b module, up *upstreams, log *slog.Logger) *host {
 	origin := time.Now().Add(-longAgo)
 	h := &host{
 		settings: cfg.Settings, log: log, ctx: ctx, origin: origin, originMs: origin.UnixMilli(), up: up,
-		disco: cfg.Discovery, balancer: b, requests: map[policy.RequestID]*request{},
+		disco: cfg.Discovery, balancer: b, requests: map[policy.RequestID]*request{}, open: map[string]*request{},
 		dials: map[policy.ServerID]string{}, effects: map[string]policy.Effect{},
 		deadline: map[string]time.Duration{},
 	}
@@ -126,24 +124,33 @@
 	}
 }
 
-// take hands a request to the module. Its time has run since read.
-func (h *host) take(r *request, q policy.Request, read policy.Time, timeout time.Duration) {
+// take hands a request to the module, and reports whether it does. Its time has run since read. It guards against two
+// open requests under one id: upstreams tell requests by it, so that the answer to one could go to the other. A client
+// that uses an id twice at once on purpose gets but one of them served.
+func (h *host) take(r *request, q policy.Request, read policy.Time, timeout time.Duration) (taken bool) {
 	h.event(func(now policy.Time) {
+		if h.open[r.key] != nil {
+			return
+		}
+		taken = true
+		h.open[r.key] = r
 		h.lastID++
 		r.id = h.lastID
 		h.requests[r.id] = r
 		q.ID, q.Expires = r.id, read+timeout
 		h.balancer.Request(now, q, h)
 	})
+	return taken
 }
 
 // withdraw tells the module that the client has left, and reports whether the request was still open.
 func (h *host) withdraw(r *request) (open bool) {
 	h.event(func(now policy.Time) {
-		if r.ended || r.owner != nil {
+		if r.ended {
 			return
 		}
-		open, r.ended = true, true
+		open = true
+		h.close(r)
 		h.balancer.Withdrawn(now, r.id, h)
 		h.forget(r)
 	})
@@ -152,14 +159,20 @@
 
 // end gives r its final answer. It guards against a second one.
 func (h *host) end(r *request, a answer) {
-	if r == nil || r.ended || r.owner != nil {
+	if r == nil || r.ended {
 		return
 	}
-	r.ended = true
+	h.close(r)
 	r.answer <- a
 	h.after = append(h.after, func(policy.Time) { h.forget(r) })
 }
 
+// close notes that r has ended: its id may be used again.
+func (h *host) close(r *request) {
+	r.ended = true
+	delete(h.open, r.key)
+}
+
 // forget drops a request that has ended once no attempt needs its body any more.
 func (h *host) forget(r *request) {
 	if !r.ended || r.out > 0 || h.requests[r.id] != r {
@@ -182,39 +195,17 @@
 	}
 	a.done = true
 	r.out--
-	delay := now - a.sent
-	switch {
-	case r.owner == a: // the client has had the answer as it came, whole or not
-		r.ended = true
-		// Guards against taking a client that reads slowly for an upstream that answers slowly: the time of a
-		// long answer is that of its first bytes.
-		delay = r.began - a.sent
-	case status == policy.OK && !r.ended && r.owner == nil:
-		r.ended = true
+	if status == policy.OK && !r.ended {
+		h.close(r)
 		r.answer <- ans
 	}
 	h.balancer.Outcome(now, policy.Outcome{
-		ID: r.id, Attempt: a.number, Server: a.server, Status: status, Delay: delay,
+		ID: r.id, Attempt: a.number, Server: a.server, Status: status, Delay: now - a.sent,
 		Closed: r.ended, Load: load,
 	}, h)
 	h.forget(r)
 }
 
-// begin makes a's answer the one that the client gets as it comes, and reports whether it is: an attempt
-// that lost, or was called off, may write nothing.
-func (h *host) begin(a *attempt, ans answer) (won bool) {
-	h.event(func(now policy.Time) {
-		r := a.req
-		if r.ended || r.owner != nil || a.isCanceled() {
-			return
-		}
-		won, r.owner, r.began = true, a, now
-		r.answer <- ans
-		h.balancer.Streaming(now, r.id, a.number, h)
-	})
-	return won
-}
-
 // The methods of policy.Actions. The balancer calls them under mu, so they never block, and report what
 // comes of them through after or from a goroutine of their own.
 
@@ -228,7 +219,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	addr, listed := h.dials[server]
-	if r.ended || r.owner != nil || !listed || timeout <= 0 {
+	if r.ended || !listed || timeout <= 0 {
 		h.after = append(h.after, func(now policy.Time) { h.settled(now, a, policy.Moot, nil, answer{}) })
 		return
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,11 +1,13 @@
 package sidecar
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
-	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,21 +27,31 @@
 	mostBody = 64 << 10
 	// bodyShare is the part of the memory limit that bodies may hold, one over bodyShare.
 	bodyShare = 8
-	// headTime is how long a client may take to write a head, counted from the start of a new connection. Clients
-	// take up to 2 s. It guards against connections on which nothing ever comes: they hold descriptors.
-	headTime = 3 * time.Second
-	// quietLeast is how long a connection has been quiet at least when it is closed to make room: a new one's
-	// first bytes may be on their way.
-	quietLeast = 250 * time.Millisecond
-	// idleTime is how long a client's connection may stand idle.
-	idleTime = 2 * time.Minute
+	// mostClientHead bounds a request's head. It is held in a buffer of that size.
+	mostClientHead = 8 << 10
+	// mostName bounds an id, a class or a tenant: they are kept while a request is open.
+	mostName = 256
+	// headTime is how long a client may take to write a head, counted from the start of a new connection: bad clients
+	// are owed an end within 3 s of it, and clients may take up to 2 s.
+	headTime = 2500 * time.Millisecond
 	// bodyTime is how long a client may take to write a body. It guards against clients that hold room and a
 	// descriptor for ever. One on a link so slow that 64 KiB take longer would be cut off wrongly.
 	bodyTime = 2 * time.Second
+	// idleTime is how long a client's connection may stand idle; 2 s are owed. Guards against clients that ask once
+	// and keep their connection for good. A client that asks more seldom pays with a new connection each time.
+	idleTime = 5 * time.Second
+	// quietLeast is how long a connection has been quiet at least when it is closed to make room: a new one's
+	// first bytes may be on their way.
+	quietLeast = 250 * time.Millisecond
+	// slowLeast is the same for one whose request has come in part.
+	slowLeast = time.Second
 	// writeTime is how long a client may take none of its answer.
-	writeTime = 10 * time.Second
-	// mostClientHead bounds a request's head.
-	mostClientHead = 32 << 10
+	writeTime = 2 * time.Second
+	// lingerTime is how long what a client still sends is read and dropped after its request was turned away, so that
+	// the answer reaches it before a reset does.
+	lingerTime = 300 * time.Millisecond
+	// acceptRetry is the pause after a failed accept.
+	acceptRetry = 5 * time.Millisecond
 	// mostWait bounds a client's wait where the settings name no class.
 	mostWait = time.Minute
 )
@@ -50,274 +62,439 @@
 	return semaphore.NewWeighted(max(int64(memoryMB)<<20/bodyShare, mostBody))
 }
 
-// clients is the handler of the client's requests.
-type clients struct {
-	host *host
-	room *semaphore.Weighted // bytes
+// server serves the clients. It reads requests by net/http's parser, but holds the connections itself, as net/http's
+// server hides what must be known here: heads as they came, bytes behind a request, and how far a connection has got
+// when it has to make room for another.
+type server struct {
+	host    *host
+	room    *semaphore.Weighted
+	sockets *sockets
+	log     *slog.Logger
+
+	mu       sync.Mutex
+	conns    map[*clientConn]struct{} // bounded by sockets
+	draining bool
+	open     sync.WaitGroup // their goroutines
 }
 
-// ServeHTTP answers one request. Paths go on byte for byte, which a ServeMux would not let them.
-func (s *clients) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	if q.URL.Path == "/healthz" && q.Method == http.MethodGet {
-		w.WriteHeader(http.StatusOK)
-		return
+func newServer(h *host, memoryMB int, s *sockets, log *slog.Logger) *server {
+	return &server{host: h, room: newRoom(memoryMB), sockets: s, log: log, conns: map[*clientConn]struct{}{}}
+}
+
+// phase is how far a client's connection has got.
+type phase int
+
+const (
+	fresh     phase = iota // nothing has come yet
+	idle                   // between two requests
+	reading                // a request has come in part
+	serving                // a request is open
+	lingering              // turned away
+)
+
+// clientConn is a client's connection. Its phase is under the server's lock.
+type clientConn struct {
+	net.Conn
+	release func()
+	r       *bufio.Reader
+	phase   phase
+	since   time.Time   // of that phase
+	heard   atomic.Bool // something has been read since it fell quiet
+}
+
+// Read is the method of net.Conn.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(true)
+	}
+	return n, err
+}
+
+// Serve accepts connections until ln ends. It takes a descriptor for each before: while there is none free,
+// connections wait in the kernel's backlog.
+func (s *server) Serve(ln net.Listener) error {
+	defer ln.Close()
+	for {
+		release, err := s.sockets.acquireClient(context.Background())
+		if err != nil {
+			return err
+		}
+		nc, err := ln.Accept()
+		if err != nil {
+			release()
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			// The machine is short of something, or the peer has left before it was accepted: neither lasts.
+			s.log.Warn("accept", "err", err)
+			time.Sleep(acceptRetry)
+			continue
+		}
+		c := &clientConn{Conn: nc, release: release, since: time.Now()}
+		c.r = bufio.NewReaderSize(c, mostClientHead)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		s.open.Go(func() { s.serve(c) })
+	}
+}
+
+// enter notes that c has come to a phase, and reports whether it may: one that was closed to make room may not.
+func (s *server) enter(c *clientConn, p phase) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.conns[c]; !ok || s.draining && p == idle {
+		return false
+	}
+	c.phase, c.since = p, time.Now()
+	if p == idle {
+		c.heard.Store(false)
+	}
+	return true
+}
+
+// drop closes c and gives its descriptor back. Called with the lock held.
+func (s *server) drop(c *clientConn) {
+	if _, ok := s.conns[c]; ok {
+		delete(s.conns, c)
+		c.Conn.Close()
+		c.release()
+	}
+}
+
+// evict closes the connection that is missed least: one that was turned away, else the one that has been quiet longest,
+// else one that has been slow to write its request. It guards against connections that are opened only to be held: they
+// would keep all others waiting. A client whose first request crosses the close must try again.
+func (s *server) evict() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	rank := func(c *clientConn) int {
+		age := now.Sub(c.since)
+		switch {
+		case c.phase == lingering:
+			return 3
+		case (c.phase == idle || c.phase == fresh) && age >= quietLeast && !c.heard.Load():
+			return 2
+		case c.phase == reading && age >= slowLeast:
+			return 1
+		}
+		return 0
+	}
+	var victim *clientConn
+	best := 0
+	for c := range s.conns {
+		r := rank(c)
+		if r > best || r == best && r > 0 && c.since.Before(victim.since) {
+			if r != 2 || nothingCame(c.Conn) {
+				victim, best = c, r
+			}
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	s.drop(victim)
+	return true
+}
+
+// drain makes every answer the last one of its connection, and closes those on which none is owed: a request that
+// crosses this comes again on a new connection, which is still accepted.
+func (s *server) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	for c := range s.conns {
+		if c.phase == idle && !c.heard.Load() && nothingCame(c.Conn) {
+			s.drop(c)
+		}
+	}
+}
+
+// wait waits until all connections have ended, or ctx has, and reports whether they have.
+func (s *server) wait(ctx context.Context) bool {
+	done := make(chan struct{})
+	go func() {
+		s.open.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// closeAll closes all connections.
+func (s *server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		s.drop(c)
+	}
+}
+
+// serve serves one connection: a request after the other.
+func (s *server) serve(c *clientConn) {
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.drop(c)
+	}()
+	for until := c.since.Add(headTime); ; until = time.Now().Add(idleTime) {
+		first := c.phase == fresh
+		c.SetReadDeadline(until)
+		if _, err := c.r.Peek(1); err != nil || !s.enter(c, reading) {
+			return
+		}
+		if !first {
+			c.SetReadDeadline(time.Now().Add(headTime))
+		}
+		r, q, err := s.read(c)
+		if err != nil {
+			s.reject(c, err)
+			return
+		}
+		if r == nil { // asked whether the sidecar is ready
+			if s.write(c, q, answer{status: http.StatusOK}) != nil || !s.enter(c, idle) {
+				return
+			}
+			continue
+		}
+		if !s.answer(c, q, r) || !s.enter(c, idle) {
+			return
+		}
+	}
+}
+
+// rejection is why a request is turned away.
+type rejection struct {
+	status int
+	text   string
+}
+
+func (e rejection) Error() string { return e.text }
+
+// read reads one request and hands it to the module, if it may be served. It returns no request for a probe of
+// readiness.
+func (s *server) read(c *clientConn) (*request, *http.Request, error) {
+	if err := peekHead(c.r); err != nil {
+		return nil, nil, err
+	}
+	q, err := http.ReadRequest(c.r)
+	if err != nil {
+		return nil, nil, err
+	}
+	if q.URL.Path == "/healthz" && q.Method == http.MethodGet && q.ContentLength == 0 {
+		if !s.enter(c, serving) {
+			return nil, nil, errGone
+		}
+		return nil, q, nil
 	}
 	r, event, timeout, err := s.legal(q)
 	if err != nil {
-		w.Header().Set("Connection", "close") // what is left of the request is not read
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+		return nil, nil, err
 	}
-	if !s.readBody(w, q, r) {
-		return
+	if err := s.readBody(c, q, r); err != nil {
+		return nil, nil, err
+	}
+	if c.r.Buffered() > 0 {
+		err = errCrowd
+	} else if !s.enter(c, serving) {
+		err = errGone
+	} else if !s.host.take(r, event, s.host.now(), timeout) {
+		err = rejection{http.StatusConflict, "a request with this X-Request-ID is open"}
+	}
+	if err != nil {
+		r.free()
+		return nil, nil, err
 	}
-	s.host.take(r, event, s.host.now(), timeout)
-	var ans answer
+	return r, q, nil
+}
+
+var (
+	errGone = errors.New("the connection has been closed to make room")
+	// errCrowd guards against clients that write many requests at once: the protocol has one at a time, and what
+	// came behind would be held unread or served out of turn.
+	errCrowd = rejection{http.StatusBadRequest, "more came before the answer: one request at a time"}
+)
+
+// answer waits for the final answer to r and writes it. It reports whether the connection can go on.
+func (s *server) answer(c *clientConn, q *http.Request, r *request) bool {
+	c.SetReadDeadline(time.Time{})
+	more := make(chan error, 1)
+	go func() { // ends when something comes, the client leaves, or by the deadline set below
+		_, err := c.r.Peek(1)
+		more <- err
+	}()
 	select {
-	case ans = <-r.answer:
-	case <-q.Context().Done():
-		if s.host.withdraw(r) {
-			return
+	case ans := <-r.answer:
+		c.SetReadDeadline(time.Unix(1, 0))
+		err := <-more
+		return s.write(c, q, ans) == nil && isTimeout(err) && !q.Close
+	case err := <-more:
+		if !s.host.withdraw(r) {
+			s.write(c, q, <-r.answer)
+		} else if err == nil {
+			s.reject(c, errCrowd)
 		}
-		ans = <-r.answer
+		return false
+	}
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// reject answers a request that cannot be served, and ends its connection: what is left of the request is not read for
+// what it says.
+func (s *server) reject(c *clientConn, err error) {
+	ans := rejection{http.StatusBadRequest, "malformed request"}
+	var re rejection
+	switch {
+	case errors.As(err, &re):
+		ans = re
+	case errors.Is(err, errGone) || errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed):
+		return
+	case isTimeout(err):
+		ans = rejection{http.StatusRequestTimeout, "the request did not come whole in time"}
+	case errors.Is(err, errHeadTooLong):
+		ans = rejection{http.StatusRequestHeaderFieldsTooLarge, err.Error()}
+	case errors.Is(err, errHead) || errors.Is(err, errFraming):
+		ans.text = err.Error()
+	}
+	if !s.enter(c, lingering) {
+		return
+	}
+	c.SetDeadline(time.Now().Add(lingerTime))
+	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s\n",
+		ans.status, http.StatusText(ans.status), len(ans.text)+1, ans.text)
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		io.CopyN(io.Discard, c.r, mostBody)
 	}
-	s.write(w, ans)
 }
 
 // legal reads what a request says of itself.
-func (s *clients) legal(q *http.Request) (*request, policy.Request, time.Duration, error) {
+func (s *server) legal(q *http.Request) (*request, policy.Request, time.Duration, error) {
 	var event policy.Request
-	if q.Header.Get("X-Request-Id") == "" {
-		return nil, event, 0, errors.New("no X-Request-ID")
+	bad := func(text string) (*request, policy.Request, time.Duration, error) {
+		return nil, event, 0, rejection{http.StatusBadRequest, text}
+	}
+	for _, name := range []string{"X-Request-Id", "X-Timeout-Ms", "Idempotency-Key", "X-Tenant-Id"} {
+		// Of two values each reader might take another one.
+		if v := q.Header[name]; len(v) > 1 || len(v) == 1 && len(v[0]) > mostName {
+			return bad(name + " is given more than once or too long")
+		}
+	}
+	id := q.Header.Get("X-Request-Id")
+	if id == "" {
+		return bad("no X-Request-ID")
+	}
+	if q.Host == "" && q.ProtoAtLeast(1, 1) || !strings.HasPrefix(q.RequestURI, "/") {
+		return bad("no Host, or no path")
 	}
 	path := strings.Split(strings.TrimPrefix(q.URL.Path, "/"), "/")
 	event.Class = path[0]
 	if len(path) > 1 {
 		event.Key = path[len(path)-1]
 	}
+	deadline, known := s.host.deadline[event.Class]
+	if !known {
+		return nil, event, 0, rejection{http.StatusNotFound, "no such class of requests"}
+	}
+	safe := s.host.effects[event.Class] == policy.Safe
+	if (q.Method == http.MethodGet) != safe || !safe && q.Method != http.MethodPost {
+		return nil, event, 0, rejection{http.StatusMethodNotAllowed, "the method is not that of the class"}
+	}
+	if safe && q.ContentLength != 0 {
+		return bad("a request of this class has no body")
+	}
+	if s.host.effects[event.Class] == policy.Keyed && q.Header.Get("Idempotency-Key") == "" {
+		// Upstreams could not tell a repeat, so that it would run twice.
+		return bad("no Idempotency-Key")
+	}
 	event.Tenant = q.Header.Get("X-Tenant-Id")
 	event.Retry = q.Header.Get("X-Retried") == "1"
 	if us, err := strconv.ParseInt(q.Header.Get("X-Cost"), 10, 64); err == nil && us > 0 && us < int64(time.Hour/time.Microsecond) {
 		event.Cost = time.Duration(us) * time.Microsecond
 	}
-	class, known := s.host.deadline[event.Class]
-	timeout := class
-	if ms, err := strconv.ParseInt(q.Header.Get("X-Timeout-Ms"), 10, 64); err == nil && ms > 0 {
+	timeout := deadline
+	if text := q.Header.Get("X-Timeout-Ms"); text != "" {
+		ms, err := strconv.ParseUint(text, 10, 64)
+		if err != nil || ms == 0 {
+			return bad("X-Timeout-Ms is no positive whole number")
+		}
 		// A client that would wait longer than any class allows must not make timers last for ever.
-		timeout = time.Duration(min(ms, s.host.longest.Milliseconds())) * time.Millisecond
-	} else if !known {
-		return nil, event, 0, errors.New("no usable X-Timeout-Ms")
-	}
-	if s.host.effects[event.Class] == policy.Keyed && known && q.Header.Get("Idempotency-Key") == "" {
-		// Upstreams could not tell a repeat, so that it would run twice.
-		return nil, event, 0, errors.New("no Idempotency-Key")
+		timeout = time.Duration(min(ms, uint64(s.host.longest.Milliseconds()))) * time.Millisecond
 	}
-	r := &request{method: q.Method, target: target(q), host: q.Host, answer: make(chan answer, 1)}
+	r := &request{key: id, method: q.Method, target: target(q), host: q.Host, answer: make(chan answer, 1)}
 	r.header = forwarded(q.Header)
 	return r, event, timeout, nil
 }
 
-// readBody reads the body once there is room for it. If it returns false the request has been dealt with.
-func (s *clients) readBody(w http.ResponseWriter, q *http.Request, r *request) bool {
+// readBody reads the body once there is room for it.
+func (s *server) readBody(c *clientConn, q *http.Request, r *request) error {
 	n := q.ContentLength
 	if n < 0 {
 		n = mostBody // its length shows at its end
 	}
-	reject := func(status int, text string) bool {
-		w.Header().Set("Connection", "close") // what is left of the body is not read
-		http.Error(w, text, status)
-		return false
-	}
+	tooLong := rejection{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
 	if n > mostBody {
-		return reject(http.StatusRequestEntityTooLarge, "the body is over 64 KiB")
+		return tooLong
 	}
-	ctx, cancel := context.WithTimeout(q.Context(), bodyTime)
+	until := time.Now().Add(bodyTime)
+	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	if s.room.Acquire(ctx, n) != nil {
-		return reject(http.StatusServiceUnavailable, "no room for the body")
+		return rejection{http.StatusServiceUnavailable, "no room for the body"}
 	}
-	r.free = func() { s.room.Release(n) }
+	r.free = sync.OnceFunc(func() { s.room.Release(n) })
 	if n == 0 {
-		return true
+		return nil
+	}
+	c.SetReadDeadline(until)
+	if strings.EqualFold(q.Header.Get("Expect"), "100-continue") && c.r.Buffered() == 0 {
+		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
-	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Now().Add(bodyTime))
 	var err error
 	if q.ContentLength >= 0 {
 		r.body = make([]byte, n)
 		_, err = io.ReadFull(q.Body, r.body)
-	} else {
-		r.body, err = io.ReadAll(http.MaxBytesReader(w, q.Body, mostBody))
-	}
-	if err == nil {
-		rc.SetReadDeadline(time.Time{})
-		return true
-	}
-	r.free()
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		return reject(http.StatusRequestEntityTooLarge, "the body is over 64 KiB")
+	} else if r.body, err = io.ReadAll(io.LimitReader(q.Body, mostBody+1)); err == nil && len(r.body) > mostBody {
+		err = tooLong
 	}
-	return reject(http.StatusBadRequest, "the body did not come whole")
-}
-
-// write writes the final answer.
-func (s *clients) write(w http.ResponseWriter, ans answer) {
-	h := w.Header()
-	maps.Copy(h, ans.header)
-	switch {
-	case ans.stream != nil:
-		s.stream(w, ans)
-		return
-	case ans.status != http.StatusOK:
-		if ans.retryAfter > 0 {
-			h.Set("Retry-After", strconv.FormatFloat(ans.retryAfter.Seconds(), 'f', -1, 64))
-		}
-		h["Content-Length"] = []string{"0"}
-		w.WriteHeader(ans.status)
-		return
-	}
-	h["Content-Length"] = []string{strconv.Itoa(len(ans.body))}
-	if _, typed := h["Content-Type"]; !typed {
-		h["Content-Type"] = nil // none came, and none is guessed
-	}
-	if len(ans.body) > streamChunk { // it may not fit into the socket's buffer
-		rc := http.NewResponseController(w)
-		rc.SetWriteDeadline(time.Now().Add(writeTime))
-		defer rc.SetWriteDeadline(time.Time{})
-	}
-	w.WriteHeader(ans.status)
-	w.Write(ans.body)
-}
-
-// stream passes a long answer on as it comes. If it breaks, the client's connection is cut, so that the client
-// can tell that the answer is not whole.
-func (s *clients) stream(w http.ResponseWriter, ans answer) {
-	if ans.stream.length >= 0 {
-		w.Header()["Content-Length"] = []string{strconv.FormatInt(ans.stream.length, 10)}
-	}
-	if _, typed := w.Header()["Content-Type"]; !typed {
-		w.Header()["Content-Type"] = nil
-	}
-	rc := http.NewResponseController(w)
-	w.WriteHeader(ans.status)
-	part, buf := ans.body, make([]byte, streamChunk)
-	var err error
-	for {
-		rc.SetWriteDeadline(time.Now().Add(writeTime))
-		_, werr := w.Write(part)
-		if werr == nil {
-			werr = rc.Flush()
-		}
-		if werr != nil { // the client has gone, or takes nothing
-			ans.stream.end(policy.Canceled)
-			panic(http.ErrAbortHandler)
-		}
-		if err != nil {
-			break
-		}
-		var n int
-		n, err = ans.stream.read(buf)
-		part = buf[:n]
-	}
-	if err != io.EOF {
-		ans.stream.end(policy.Reset)
-		panic(http.ErrAbortHandler)
-	}
-	rc.SetWriteDeadline(time.Time{})
-	ans.stream.end(policy.OK)
-}
-
-// quietClients holds the client connections on which no request is being served, by the time at which they fell
-// quiet: those between two requests, and those that have not written a first one.
-type quietClients struct {
-	mu    sync.Mutex
-	since map[*clientConn]time.Time
-}
-
-// state is a http.Server's ConnState hook.
-func (q *quietClients) state(c net.Conn, s http.ConnState) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	cc, ok := c.(*clientConn)
-	switch {
-	case !ok:
-	case s == http.StateIdle || s == http.StateNew:
-		cc.heard.Store(false)
-		q.since[cc] = time.Now()
-	default:
-		delete(q.since, cc)
-	}
-}
-
-// evict closes the connection that has been quiet longest. It guards against connections that are opened only
-// to be held: they would keep all others waiting. One on which a request has come, if only in part, stays.
-func (q *quietClients) evict() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	var oldest *clientConn
-	least := time.Now().Add(-quietLeast)
-	for c, t := range q.since {
-		if t.Before(least) && (oldest == nil || t.Before(q.since[oldest])) && !c.heard.Load() && nothingCame(c.Conn) {
-			oldest = c
+	if err != nil {
+		r.free()
+		if isTimeout(err) || errors.Is(err, tooLong) {
+			return err
 		}
+		return rejection{http.StatusBadRequest, "the body did not come whole"}
 	}
-	if oldest == nil {
-		return false
-	}
-	delete(q.since, oldest)
-	oldest.Close()
-	return true
-}
-
-// listener counts the descriptors of the connections that it accepts. While there is none free, connections
-// wait in the kernel's backlog.
-type listener struct {
-	net.Listener
-	ctx     context.Context
-	sockets *sockets
+	return nil
 }
 
-func (l *listener) Accept() (net.Conn, error) {
-	release, err := l.sockets.acquireClient(l.ctx)
-	if err != nil {
-		return nil, err
+// write writes the final answer.
+func (s *server) write(c *clientConn, q *http.Request, ans answer) error {
+	s.mu.Lock()
+	q.Close = q.Close || s.draining
+	s.mu.Unlock()
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", ans.status, http.StatusText(ans.status), len(ans.body))
+	if q.Close {
+		b.WriteString("Connection: close\r\n")
+	} else if !q.ProtoAtLeast(1, 1) {
+		b.WriteString("Connection: keep-alive\r\n")
 	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		release()
-		return nil, err
+	if ans.retryAfter > 0 {
+		fmt.Fprintf(&b, "Retry-After: %s\r\n", strconv.FormatFloat(ans.retryAfter.Seconds(), 'f', -1, 64))
 	}
-	return &clientConn{Conn: c, release: release}, nil
-}
-
-// clientConn is a client's connection.
-type clientConn struct {
-	net.Conn
-	release func()
-	heard   atomic.Bool // something has been read since it fell quiet
-}
-
-// Read is the method of net.Conn.
-func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.heard.Store(true)
-	}
-	return n, err
-}
-
-// Close is the method of net.Conn.
-func (c *clientConn) Close() error {
-	err := c.Conn.Close()
-	c.release()
+	ans.header.Write(&b)
+	b.WriteString("\r\n")
+	b.Write(ans.body)
+	c.SetWriteDeadline(time.Now().Add(writeTime))
+	_, err := c.Write(b.Bytes())
 	return err
 }
-
-func newServer(handler http.Handler, quiet *quietClients, log *slog.Logger) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: mostClientHead,
-		ConnState: quiet.state, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		DisableGeneralOptionsHandler: true,
-	}
-}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -21,21 +21,15 @@
 )
 
 const (
-	// wholeAnswer is the longest answer that is read whole before it counts as OK.
-	wholeAnswer = 64 << 10
-	// streamChunk is the buffer through which longer ones pass.
-	streamChunk = 16 << 10
-	// streamStall is how long an upstream may be silent in the middle of an answer before it counts as broken.
-	streamStall = 5 * time.Second
-	// mostHead bounds the head of an upstream's answer: one that never ends must not fill the memory.
-	mostHead = 64 << 10
 	// mostInterim bounds the 1xx answers before the final one.
 	mostInterim = 5
 	// idleShare is the part of the idle limit after which an idle connection is closed: the upstream closes it
 	// at the limit, and a request that crosses that close is lost to a reset.
 	idleShare = 0.6
-	// connBuffer is the size of a connection's two buffers: most heads and answers fit.
-	connBuffer = 4 << 10
+	// connBuffer is the size of a connection's buffer. The head of an answer must fit.
+	connBuffer = 8 << 10
+	// writeBuffer is that for what is written to it.
+	writeBuffer = 4 << 10
 )
 
 // attempt is one send of a request.
@@ -93,20 +87,9 @@
 	release func() // of its descriptor
 	r       *bufio.Reader
 	w       *bufio.Writer
-	budget  int // bytes that may still be read
 	since   time.Time
 }
 
-// Read guards against a head without end.
-func (c *conn) Read(p []byte) (int, error) {
-	if c.budget <= 0 {
-		return 0, errors.New("the answer's head is too long")
-	}
-	n, err := c.Conn.Read(p[:min(len(p), c.budget)])
-	c.budget -= n
-	return n, err
-}
-
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.release()
@@ -233,7 +216,7 @@
 		return nil, err
 	}
 	c := &conn{Conn: nc, addr: addr, release: release}
-	c.r, c.w = bufio.NewReaderSize(c, connBuffer), bufio.NewWriterSize(nc, connBuffer)
+	c.r, c.w = bufio.NewReaderSize(nc, connBuffer), bufio.NewWriterSize(nc, writeBuffer)
 	c.SetDeadline(deadline)
 	return c, nil
 }
@@ -252,7 +235,6 @@
 
 // exchange writes a request and reads the head of the answer.
 func (c *conn) exchange(q *http.Request) (*http.Response, error) {
-	c.budget = mostHead
 	err := q.Write(c.w)
 	if err == nil {
 		err = c.w.Flush()
@@ -261,12 +243,14 @@
 		return nil, errNotWritten{err}
 	}
 	for range mostInterim {
+		if err := peekHead(c.r); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.r, q)
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
-			c.budget = 1 << 62 // the body is bounded by its readers
 			return resp, nil
 		}
 	}
@@ -315,45 +299,32 @@
 	h.pass(a, c, resp, load)
 }
 
-// pass takes a 200 answer: whole if it is short, else as it comes.
+// errAnswerTooLong guards against answers without end: they would hold memory, or pass on what no client can use.
+var errAnswerTooLong = errors.New("the answer is over 64 KiB")
+
+// pass takes a 200 answer, whole: nothing reaches the client before all of it is known to be in order.
 func (h *host) pass(a *attempt, c *conn, resp *http.Response, load *policy.Load) {
 	ans := answer{status: http.StatusOK, header: forwarded(resp.Header)}
 	var err error
-	long := resp.ContentLength > wholeAnswer
 	switch {
-	case long:
-		ans.body = make([]byte, streamChunk)
-		var n int
-		n, err = io.ReadAtLeast(resp.Body, ans.body, 1)
-		ans.body = ans.body[:n]
+	case resp.ContentLength > mostBody:
+		err = errAnswerTooLong
 	case resp.ContentLength >= 0:
 		ans.body = make([]byte, resp.ContentLength)
 		_, err = io.ReadFull(resp.Body, ans.body)
 	default:
-		var b bytes.Buffer
-		_, err = b.ReadFrom(io.LimitReader(resp.Body, wholeAnswer+1))
-		ans.body = b.Bytes()
-		long = len(ans.body) > wholeAnswer
+		ans.body, err = io.ReadAll(io.LimitReader(resp.Body, mostBody+1))
+		if err == nil && len(ans.body) > mostBody {
+			err = errAnswerTooLong
+		}
 	}
 	if err != nil {
 		c.Close()
 		h.broken(a, err)
 		return
 	}
-	if !long {
-		h.done(a, c, resp, true)
-		h.settle(a, policy.OK, load, ans)
-		return
-	}
-	ans.stream = &stream{conn: c, body: resp.Body, length: resp.ContentLength}
-	ans.stream.end = func(status policy.Status) {
-		h.done(a, c, resp, status == policy.OK)
-		h.settle(a, status, load, answer{})
-	}
-	if !h.begin(a, ans) {
-		c.Close()
-		h.settle(a, policy.Canceled, nil, answer{})
-	}
+	h.done(a, c, resp, true)
+	h.settle(a, policy.OK, load, ans)
 }
 
 // done keeps a connection for the next request, if the exchange on it ended in order.
@@ -381,20 +352,6 @@
 	h.settle(a, status, nil, answer{})
 }
 
-// stream is the rest of an answer that is passed on as it comes. Its end is told once.
-type stream struct {
-	conn   *conn
-	body   io.Reader
-	length int64 // -1: not known
-	end    func(policy.Status)
-}
-
-// read reads a further part.
-func (s *stream) read(p []byte) (int, error) {
-	s.conn.SetReadDeadline(time.Now().Add(streamStall))
-	return s.body.Read(p)
-}
-
 // request is what the upstream is sent.
 func (a *attempt) request() *http.Request {
 	r := a.req
@@ -410,12 +367,7 @@
 }
 
 // target is the URL under which q's target goes on as the client wrote it.
-func target(q *http.Request) *url.URL {
-	if strings.HasPrefix(q.RequestURI, "//") { // as Opaque it would stand for a host
-		return q.URL
-	}
-	return &url.URL{Opaque: q.RequestURI}
-}
+func target(q *http.Request) *url.URL { return &url.URL{Opaque: q.RequestURI} }
 
 // hopHeaders concern one connection only.
 var hopHeaders = []string{
