Reload the configuration on SIGHUP

The version of a list (since) is the old discovery's: at a new address the whole list is asked for. The module says when to ask (Moved).

--- a/cmd/cairnpick/main.go
+++ b/cmd/cairnpick/main.go
@@ -22,6 +22,9 @@
 }
 
 func run() error {
+	// From the first moment on, as SIGHUP would otherwise end the program.
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
 	cfg, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -37,5 +40,14 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range hangUp {
+			if cfg, err := sidecar.LoadConfig(os.Getenv); err != nil {
+				s.ReloadFailed(err)
+			} else {
+				s.Reload(cfg)
+			}
+		}
+	}()
 	return s.Run(ctx)
 }
--- a/cmd/cairnpick/main_test.go
+++ b/cmd/cairnpick/main_test.go
@@ -169,3 +169,64 @@
 	}
 	t.Logf("ready and answering %v after SIGKILL", time.Since(began))
 }
+
+// TestHangUp: SIGHUP takes over the address of discovery from the replaced file; a file that cannot be used leaves
+// everything as it was, and neither ends the program.
+func TestHangUp(t *testing.T) {
+	asked := make(chan string, 100)
+	discovery := func(name string) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			asked <- name
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		t.Cleanup(srv.Close)
+		return srv.Listener.Addr().String()
+	}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { io.WriteString(w, "ok") }))
+	defer srv.Close()
+	text := configText("127.0.0.1:0", srv.Listener.Addr().String())
+	s := start(t, text)
+	path := ""
+	for _, v := range s.Env {
+		if p, ok := strings.CutPrefix(v, "GW_CONFIG="); ok {
+			path = p
+		}
+	}
+	reload := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	moved := func(name string) {
+		t.Helper()
+		for {
+			select {
+			case got := <-asked:
+				if got == name {
+					return
+				}
+			case <-time.After(20 * time.Second):
+				t.Fatalf("discovery %s was not asked", name)
+			}
+		}
+	}
+	reload(strings.Replace(text, "127.0.0.1:1\"", discovery("b")+"\"", 1))
+	moved("b")
+	reload("{")
+	for line := ""; !strings.Contains(line, "GW_CONFIG"); {
+		select {
+		case line = <-s.log:
+		case <-time.After(20 * time.Second):
+			t.Fatal("no line in the log tells that the file cannot be used")
+		}
+	}
+	reload(strings.Replace(text, "127.0.0.1:1\"", discovery("c")+"\"", 1))
+	moved("c")
+	if resp, err := get(s.addr); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("answer %v, %v after reloads", resp, err)
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -31,8 +31,9 @@
 	leastSockets  = 64
 )
 
-// LoadConfig reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY have precedence over
-// it. An error names the variable or the key at fault.
+// LoadConfig reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY stand in for what it lacks. The
+// file has precedence, as it can be replaced while the program runs and its environment cannot: after a restart the
+// environment may still name a discovery that has moved. An error names the variable or the key at fault.
 func LoadConfig(getenv func(string) string) (Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
@@ -64,8 +65,8 @@
 	for name, value := range map[string]*string{
 		"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery,
 	} {
-		if v := getenv(name); v != "" {
-			*value = v
+		if *value == "" {
+			*value = getenv(name)
 		}
 	}
 	if file.Limits.MemoryMB != 0 {
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"log/slog"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -59,7 +61,7 @@
 	}
 }
 
-func TestEnvironmentHasPrecedence(t *testing.T) {
+func TestWithoutAFile(t *testing.T) {
 	if _, err := LoadConfig(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
 		t.Errorf("error %v, want one that names GW_CONFIG", err)
 	}
@@ -68,6 +70,20 @@
 	}
 }
 
+// TestFileHasPrecedence: the file can be replaced while the program runs, its environment cannot.
+func TestFileHasPrecedence(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := strings.Replace(configText("127.0.0.1:1", "127.0.0.1:2"), `"listen":"127.0.0.1:0",`, "", 1)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	env := map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": "127.0.0.1:3", "GW_LISTEN": "127.0.0.1:4"}
+	c, err := LoadConfig(func(name string) string { return env[name] })
+	if err != nil || c.Discovery != "127.0.0.1:2" || c.Listen != "127.0.0.1:4" {
+		t.Errorf("discovery %q, listen %q, %v; want the file's, and the environment's where it has none", c.Discovery, c.Listen, err)
+	}
+}
+
 // TestUnknownKeysAreIgnored: the settings of the tests hold some.
 func TestUnknownKeysAreIgnored(t *testing.T) {
 	if _, err := settings.Parse([]byte(strings.Replace(settingsText, `"Zone"`, `"Wholly":{"Novel":[1]},"Zone"`, 1))); err != nil {
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -87,9 +87,9 @@
 	}
 	ctx, cancel := context.WithCancel(h.ctx)
 	h.stopWatch = cancel
-	since := h.seq
+	addr, since := h.disco, h.seq
 	go func() {
-		err := h.watch(ctx, since)
+		err := h.watch(ctx, addr, since)
 		h.event(func(now policy.Time) {
 			if ctx.Err() != nil { // called off
 				return
@@ -102,10 +102,15 @@
 	}()
 }
 
-// watch hands the module what discovery says of changes after version since, until that fails.
-func (h *host) watch(ctx context.Context, since int64) error {
+// watch hands the module what discovery at addr says of changes after version since, or of the whole list where that is
+// unknown, until that fails.
+func (h *host) watch(ctx context.Context, addr string, since int64) error {
+	query := "follow=1"
+	if since != unknownSeq {
+		query += "&since=" + strconv.FormatInt(since, 10)
+	}
 	d := net.Dialer{Timeout: discoveryDial}
-	c, err := d.DialContext(ctx, "tcp", h.disco)
+	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
@@ -113,8 +118,8 @@
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 	c.SetDeadline(time.Now().Add(callTime))
 	q := &http.Request{
-		Method: http.MethodGet, Host: h.disco,
-		URL: &url.URL{Path: "/v1/servers", RawQuery: "follow=1&since=" + strconv.FormatInt(since, 10)},
+		Method: http.MethodGet, Host: addr,
+		URL: &url.URL{Path: "/v1/servers", RawQuery: query},
 	}
 	if err := q.Write(c); err != nil {
 		return err
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -80,6 +80,37 @@
 	}
 }
 
+// TestReloadMovesDiscovery: a new address is asked at once for its whole list, as versions of the old one mean nothing
+// there, and the old watch ends. The same address again changes nothing.
+func TestReloadMovesDiscovery(t *testing.T) {
+	w, m, _, old := watching(t)
+	old.head()
+	old.line(`{"seq":90,"whole":true,"hosts":[{"host":"a","dial":"127.0.0.1:1","health":"active"}]}`)
+	next(t, "list", m.members)
+	d := newDiscovery(t)
+	cfg := w.cfg
+	cfg.Discovery = d.addr
+	w.Reload(cfg)
+	c := next(t, "watch at the new address", d.watches)
+	if c.query != "/v1/servers?follow=1" {
+		t.Errorf("watch asks for %q", c.query)
+	}
+	old.SetReadDeadline(time.Now().Add(patience))
+	if _, err := old.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the old watch: %v, want its end", err)
+	}
+	c.head()
+	c.line(`{"seq":3,"whole":true,"hosts":[{"host":"b","dial":"127.0.0.1:2","health":"active"}]}`)
+	if e := next(t, "list", m.members); e.kind != policy.ListFull || e.servers[0].ID != "b" {
+		t.Errorf("event %+v, want the new list and no failure", e)
+	}
+	w.Reload(cfg)
+	c.line(`{"seq":4,"whole":false,"hosts":[]}`)
+	if e := next(t, "list", m.members); e.kind != policy.ListDelta || len(d.watches) > 0 {
+		t.Errorf("event %+v, and %d more watches, though the address stayed", e, len(d.watches))
+	}
+}
+
 // TestWatchFails: whatever goes wrong with a watch, the list stays and the module is told once.
 func TestWatchFails(t *testing.T) {
 	tests := []struct {
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"reflect"
 	"sync"
 	"time"
 
@@ -90,6 +91,22 @@
 	return nil
 }
 
+// Reload takes over what of cfg can change while the sidecar runs: the address of discovery. The rest is for the next
+// start, which the log tells.
+func (s *Sidecar) Reload(cfg Config) {
+	old := s.cfg
+	if cfg.Name != old.Name || cfg.Listen != old.Listen || cfg.MemoryMB != old.MemoryMB || cfg.Sockets != old.Sockets ||
+		!reflect.DeepEqual(cfg.Settings, old.Settings) {
+		s.log.Warn("reload: name, listen, limits or settings differ, which takes a restart")
+	}
+	s.log.Info("reloaded", "discovery", cfg.Discovery, "moved", s.host.move(cfg.Discovery))
+}
+
+// ReloadFailed tells that a new configuration cannot be used, and that the old one stays.
+func (s *Sidecar) ReloadFailed(err error) {
+	s.log.Error("reload: the old configuration stays", "err", err)
+}
+
 // backlog is a listener that can be drained: it goes on accepting until a time, and then until no more
 // connections wait. Closing it at once would reset those that the kernel has accepted.
 type backlog struct {
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -24,6 +24,7 @@
 // module is what the host needs of a policy.Balancer.
 type module interface {
 	Members(policy.Time, policy.ListKind, []policy.Server, policy.Actions)
+	Moved(policy.Time, policy.Actions)
 	Request(policy.Time, policy.Request, policy.Actions)
 	Outcome(policy.Time, policy.Outcome, policy.Actions)
 	Probed(policy.Time, policy.ProbeResult, policy.Actions)
@@ -39,7 +40,6 @@
 	origin   time.Time       // of the module's clock
 	originMs int64           // the same instant in Unix milliseconds, read once: see started
 	up       *upstreams
-	disco    string // address of discovery
 	longest  time.Duration
 	effects  map[string]policy.Effect // by class
 	deadline map[string]time.Duration // by class
@@ -50,7 +50,8 @@
 	open      map[string]*request           // by X-Request-ID, until they have ended
 	lastID    policy.RequestID
 	dials     map[policy.ServerID]string // addresses of the upstreams that are listed
-	seq       int64                      // of the last list message
+	disco     string                     // address of discovery
+	seq       int64                      // of the last list message of that discovery
 	stopWatch context.CancelFunc         // nil while there is no watch
 	probing   int                        // probes under way
 	timers    timerHeap
@@ -87,7 +88,7 @@
 	origin := time.Now().Add(-longAgo)
 	h := &host{
 		settings: cfg.Settings, log: log, ctx: ctx, origin: origin, originMs: origin.UnixMilli(), up: up,
-		disco: cfg.Discovery, balancer: b, requests: map[policy.RequestID]*request{}, open: map[string]*request{},
+		disco: cfg.Discovery, seq: unknownSeq, balancer: b, requests: map[policy.RequestID]*request{}, open: map[string]*request{},
 		dials: map[policy.ServerID]string{}, effects: map[string]policy.Effect{},
 		deadline: map[string]time.Duration{},
 	}
@@ -297,6 +298,21 @@
 	return x
 }
 
+// unknownSeq stands for the version of a list that nobody has told.
+const unknownSeq = -1
+
+// move makes addr the address of discovery, and reports whether that is new. Versions are those of the old one: the
+// whole list must be asked for.
+func (h *host) move(addr string) (moved bool) {
+	h.event(func(now policy.Time) {
+		if moved = addr != h.disco; moved {
+			h.disco, h.seq = addr, unknownSeq
+			h.balancer.Moved(now, h)
+		}
+	})
+	return moved
+}
+
 // members hands a message about the server list to the module.
 func (h *host) members(now policy.Time, kind policy.ListKind, l *list) {
 	h.seq = *l.Seq
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -125,6 +125,13 @@
 	}
 }
 
+// Moved notes that discovery has another address: the list is asked for there at once, whatever pause a failed call has
+// earned the old one, as it counts as told before long. The timer of such a pause then finds a watch that stands.
+func (b *Balancer) Moved(now Time, act Actions) {
+	b.watching, b.watchFails = true, 0
+	act.Watch(true)
+}
+
 // rebuild orders the ready servers. A ready set starts at a place given by the sidecar's number and
 // goes on in steps that differ between neighbours: every server gets equally many sidecars, and the
 // load of one that fails spreads over many. The spares after it follow by rendezvous hashing.
