Tell a client's retry by its hint as well

Cause: began() took any fresh request without key for the retry of one owed, so that a trace showed fresh tries dated back by 100 to 450 ms and refused (state.go). Retries carry the hint of their first try, so it is matched too.

--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -221,6 +222,38 @@
 	})
 }
 
+// TestFreshRequestsAreNotTakenForRetries guards against a spiral of refusals: requests without a key that come after one
+// that failed are not all its retries, begun when it began, and so must not be ended as late. A true retry is.
+func TestFreshRequestsAreNotTakenForRetries(t *testing.T) {
+	var healthy atomic.Bool
+	addr := upstream(t, answering(func(q *http.Request, c net.Conn) {
+		text := "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+		if healthy.Load() {
+			text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+		}
+		io.WriteString(c, text)
+	}))
+	const aim = 300 * time.Millisecond
+	w := start(t, nil, addr, "127.0.0.1:1", func(c *Config) {
+		c.Settings.Config.MayProbe = false
+		for i := range c.Settings.Config.Classes {
+			c.Settings.Config.Classes[i].Aim = aim
+		}
+	})
+	text := "GET /read HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nX-Cost: %d\n\n"
+	if resp, _ := w.ask(t, fmt.Sprintf(text, 1000)); resp.StatusCode == http.StatusOK {
+		t.Fatalf("answer %d", resp.StatusCode)
+	}
+	healthy.Store(true)
+	time.Sleep(aim + 50*time.Millisecond) // what the failed one would be worth is gone
+	if resp, _ := w.ask(t, fmt.Sprintf(text, 1500)); resp.StatusCode != http.StatusOK {
+		t.Errorf("answer %d to a fresh request", resp.StatusCode)
+	}
+	if resp, _ := w.ask(t, fmt.Sprintf(text, 1000)); resp.StatusCode == http.StatusOK {
+		t.Errorf("answer %d to a retry whose aim has passed", resp.StatusCode)
+	}
+}
+
 // TestOneIdOpenOnce: while a request is open another under its id is turned away, on whatever connection, and does not
 // disturb it; afterwards the id is free again.
 func TestOneIdOpenOnce(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -43,7 +43,10 @@
 
 // began estimates when the request began of which q is a try, as few clients mark their retries. A last
 // try, which gets all the time that is left of the deadline rather than the usual, tells it exactly.
-// Another is taken for a retry of a request owed to the same tenant and key, if one could come now.
+// Another is taken for a retry of a request owed to the same tenant and key with the same hint of its cost, if one could
+// come now. Guards against a spiral: in dense traffic without keys every fresh request looks like the retry of one
+// refused, counts as begun long ago, is refused as late, and so is owed in turn. Requests that carry neither key nor
+// hint are never matched; where hints change from try to try, retries pass for fresh and get more patience than is due.
 func (c *class) began(now Time, q Request, tick time.Duration) Time {
 	left := q.Expires - now
 	near := (left - c.usual).Abs() <= 2*tick
@@ -58,7 +61,8 @@
 	}
 	c.owed = slices.DeleteFunc(c.owed, func(r *request) bool { return now > r.began+c.Deadline })
 	for i, r := range c.owed {
-		if r.Tenant == q.Tenant && r.Key == q.Key && q.Expires <= r.began+c.Deadline+2*tick {
+		same := r.Tenant == q.Tenant && r.Key == q.Key && r.Cost == q.Cost && (q.Key != "" || q.Cost != 0)
+		if same && q.Expires <= r.began+c.Deadline+2*tick {
 			c.owed = slices.Delete(c.owed, i, i+1)
 			return r.began
 		}
