Do not let beliefs about delays starve themselves of evidence

Cause: policy.go refused whatever expected() held too late, and learnt only from what it sent. Attempts on silent peers counted as delays of half a second for the line that all servers share (Outcome), an infinite queue pulled a server's factor to 0 and with it the line up, and the two drifted apart together.

Change: a server that reports nobody waiting and has none of ours gets one; silence teaches nothing of others; factors stay within 1/4 to 4.

--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -254,6 +254,37 @@
 	}
 }
 
+// TestBeliefDoesNotStarve guards against beliefs that keep out the evidence against them: an upstream that was slow, and
+// so is held too slow for any request, gets one as soon as it reports an empty queue.
+func TestBeliefDoesNotStarve(t *testing.T) {
+	var slow atomic.Bool
+	slow.Store(true)
+	const aim = 100 * time.Millisecond
+	addr := upstream(t, answering(func(q *http.Request, c net.Conn) {
+		text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+		if q.URL.Path == "/load" {
+			text = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nqueue=0"
+		} else if slow.Load() {
+			time.Sleep(4 * aim)
+		}
+		io.WriteString(c, text)
+	}))
+	w := start(t, nil, addr, "127.0.0.1:1", func(c *Config) {
+		for i := range c.Settings.Config.Classes {
+			c.Settings.Config.Classes[i].Aim, c.Settings.Config.Classes[i].LateShare = aim, 0.5
+		}
+	})
+	for range 6 {
+		w.ask(t, plainGet)
+	}
+	slow.Store(false)
+	for range 3 {
+		if resp, _ := w.ask(t, plainGet); resp.StatusCode != http.StatusOK {
+			t.Errorf("answer %d, though the upstream is idle", resp.StatusCode)
+		}
+	}
+}
+
 // TestOneIdOpenOnce: while a request is open another under its id is turned away, on whatever connection, and does not
 // disturb it; afterwards the id is free again.
 func TestOneIdOpenOnce(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,6 +32,9 @@
 	lateBand = 0.4
 	// firstEject is the first ejection; each further failure in a row doubles it, up to the ramp time.
 	firstEject = 500 * time.Millisecond
+	// mostSlowness bounds how much slower or faster than the common line a server is held to be: machines differ by less,
+	// and without a bound the line and the factors drift apart together.
+	mostSlowness = 4
 	// smooth is the weight of a new sample in moving averages: about the last ten count.
 	smooth = 0.1
 )
@@ -106,7 +109,7 @@
 			b.servers[e.ID] = s
 		}
 		if e.Started != s.Started {
-			*s = server{slowness: 1} // a restarted process owes nothing to its past
+			*s = server{slowness: 1, out: s.out} // a restarted process owes nothing to its past
 		}
 		s.Server = e
 	}
@@ -200,7 +203,7 @@
 	set := b.set(now)
 	if !b.cfg.MayProbe || b.credit < probeSample || len(set) == 0 {
 		// Work that nobody awaits any more keeps queues long for all.
-		if s := b.pick(now, r, set); s != nil && b.expected(s) > r.limit {
+		if s := b.pick(now, r, set); s != nil && !b.inTime(s, r.limit) {
 			b.finish(now, r, true, act)
 		} else {
 			b.send(now, r, set, act)
@@ -208,7 +211,7 @@
 		return
 	}
 	r.probed = b.renew(r, set, act)
-	good := func(s *server) bool { return b.hasMark(now, s) && b.expected(s) <= r.limit && !b.cfg.WarmKeys }
+	good := func(s *server) bool { return b.hasMark(now, s) && b.inTime(s, r.limit) && !b.cfg.WarmKeys }
 	if slices.ContainsFunc(set, good) {
 		b.send(now, r, set, act)
 		return
@@ -272,11 +275,11 @@
 			continue
 		}
 		r.replies++
-		if r.replies == len(r.probed) && b.zonal && b.expected(s) > r.limit && b.credit >= probeSample {
+		if r.replies == len(r.probed) && b.zonal && !b.inTime(s, r.limit) && b.credit >= probeSample {
 			r.probed = b.renew(r, b.ready[b.setSize:], act) // the own zone is full: look abroad
 			continue
 		}
-		if b.expected(s) <= r.limit {
+		if b.inTime(s, r.limit) {
 			// The first reply of its own round is the request's threshold, and so its mark. Waiting for a
 			// mark under the threshold of another request's round would refuse what could be served.
 			b.threshold, s.marked, s.markedAt = s.queue, true, now
@@ -320,12 +323,17 @@
 	a := &r.attempts[o.Attempt]
 	a.out, a.notRun = false, o.Status.NotRun()
 	r.out--
+	a.server.out--
 	r.ended = r.ended || o.Closed
 	if o.Status == OK || o.Status == Timeout {
-		if at := b.delay.at(a.queue); at > 0 {
-			a.server.slowness += smooth * (min(float64(o.Delay)/at, 10) - a.server.slowness)
+		if at := b.delay.at(a.queue); at > 0 && !math.IsInf(at, 1) {
+			s := a.server
+			s.slowness += smooth * (min(float64(o.Delay)/at, 10) - s.slowness)
+			s.slowness = min(max(s.slowness, 1/mostSlowness), mostSlowness)
+		}
+		if o.Status == OK { // a server that has gone silent says nothing of the others
+			b.delay.learn(a.queue, float64(o.Delay)/a.server.slowness)
 		}
-		b.delay.learn(a.queue, float64(o.Delay)/a.server.slowness)
 	}
 	switch {
 	case r.ended:
@@ -404,6 +412,7 @@
 		b.earn(1 - refusedShare)
 	}
 	s.used, s.open = now, true
+	s.out++
 	b.sweep(now, act)
 	act.Send(r.ID, s.ID, r.end-now)
 	return true
@@ -466,7 +475,16 @@
 }
 
 // late reports whether r would miss its aim at s by the latest figures.
-func (b *Balancer) late(now Time, r *request, s *server) bool { return now+b.expected(s) > r.useful }
+func (b *Balancer) late(now Time, r *request, s *server) bool { return !b.inTime(s, r.useful-now) }
+
+// inTime reports whether an answer of s is to be expected within limit. A server that reports nobody waiting and has
+// none of this sidecar's requests is given one whatever was learnt of delays. It guards against a belief that
+// starves itself of evidence: once every server is held too slow nothing is sent, and nothing is learnt that would put
+// it right, however it came about (a stall, an outage, a client's or a network's fault). Should reports say 0 while
+// requests wait, it would keep one request in flight at each server that could have been refused.
+func (b *Balancer) inTime(s *server, limit time.Duration) bool {
+	return b.expected(s) <= limit || limit > 0 && s.out == 0 && s.reported && s.queue < 1
+}
 
 // expected is the delay to expect of an answer of s: the common line of delay by reported queue,
 // times how much slower than it s has been.
--- a/policy/state.go
+++ b/policy/state.go
@@ -95,6 +95,7 @@
 	used     Time    // the last send
 	open     bool    // a connection may be open
 	slowness float64 // smoothed: delay of its answers over that expected
+	out      int     // attempts of this sidecar that have no outcome
 	ejected  Time
 }
 
