Keep nothing of peers that have gone, stalled or fallen idle

An answer that stops in the middle was waited for until the request's end. A descriptor that this sidecar lacked, and a 4xx for what a client sent, counted as failures of the upstream and left it out.

Change: 2.1 s for idle clients; connections belong to an upstream's id, address and start; half a second from an answer's first byte to its last; Moot for our own lack, a status Rejected for 4xx.

--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/http"
 	"net/url"
 	"sync"
@@ -49,11 +50,11 @@
 	requests  map[policy.RequestID]*request // until they have ended and their attempts are back
 	open      map[string]*request           // by X-Request-ID, until they have ended
 	lastID    policy.RequestID
-	dials     map[policy.ServerID]string // addresses of the upstreams that are listed
-	disco     string                     // address of discovery
-	seq       int64                      // of the last list message of that discovery
-	stopWatch context.CancelFunc         // nil while there is no watch
-	probing   int                        // probes under way
+	dials     map[policy.ServerID]dial // of the upstreams that are listed
+	disco     string                   // address of discovery
+	seq       int64                    // of the last list message of that discovery
+	stopWatch context.CancelFunc       // nil while there is no watch
+	probing   int                      // probes under way
 	timers    timerHeap
 	alarm     *time.Timer // fires when the first timer is due
 	alarmAt   policy.Time // zero: not set
@@ -89,7 +90,7 @@
 	h := &host{
 		settings: cfg.Settings, log: log, ctx: ctx, origin: origin, originMs: origin.UnixMilli(), up: up,
 		disco: cfg.Discovery, seq: unknownSeq, balancer: b, requests: map[policy.RequestID]*request{}, open: map[string]*request{},
-		dials: map[policy.ServerID]string{}, effects: map[string]policy.Effect{},
+		dials: map[policy.ServerID]dial{}, effects: map[string]policy.Effect{},
 		deadline: map[string]time.Duration{},
 	}
 	for _, c := range cfg.Settings.Config.Classes {
@@ -219,12 +220,12 @@
 	a := &attempt{req: r, number: len(r.attempts), server: server, sent: now.Sub(h.origin), deadline: now.Add(timeout)}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	addr, listed := h.dials[server]
+	to, listed := h.dials[server]
 	if r.ended || !listed || timeout <= 0 {
 		h.after = append(h.after, func(now policy.Time) { h.settled(now, a, policy.Moot, nil, answer{}) })
 		return
 	}
-	go h.attempt(a, addr)
+	go h.attempt(a, to)
 }
 
 func (h *host) Refuse(id policy.RequestID, retryAfter time.Duration) {
@@ -242,8 +243,8 @@
 }
 
 func (h *host) HangUp(server policy.ServerID) {
-	if addr, ok := h.dials[server]; ok {
-		h.up.hangUp(addr)
+	if to, ok := h.dials[server]; ok {
+		h.up.hangUp(to)
 	}
 }
 
@@ -316,6 +317,7 @@
 // members hands a message about the server list to the module.
 func (h *host) members(now policy.Time, kind policy.ListKind, l *list) {
 	h.seq = *l.Seq
+	before := maps.Clone(h.dials)
 	if kind != policy.ListDelta {
 		clear(h.dials)
 	}
@@ -328,7 +330,13 @@
 		if servers[i].State == policy.Gone {
 			delete(h.dials, id)
 		} else {
-			h.dials[id] = e.Dial
+			h.dials[id] = dial{e.Dial, id, e.BornMs}
+		}
+	}
+	// Connections of an upstream that has gone, moved or started anew are of no use to whoever has its address now.
+	for id, old := range before {
+		if h.dials[id] != old {
+			h.up.hangUp(old)
 		}
 	}
 	h.balancer.Members(now, kind, servers, h)
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -30,7 +30,7 @@
 // Probe is a method of policy.Actions.
 func (h *host) Probe(server policy.ServerID) {
 	sent := h.now()
-	addr, listed := h.dials[server]
+	to, listed := h.dials[server]
 	if !listed || h.probing >= mostProbes {
 		h.after = append(h.after, func(now policy.Time) {
 			h.balancer.Probed(now, policy.ProbeResult{Server: server, Status: policy.Moot}, h)
@@ -39,7 +39,7 @@
 	}
 	h.probing++
 	go func() {
-		status, load := h.probe(addr)
+		status, load := h.probe(to)
 		h.event(func(now policy.Time) {
 			h.probing--
 			h.balancer.Probed(now, policy.ProbeResult{Server: server, Status: status, Delay: now - sent, Load: load}, h)
@@ -47,13 +47,16 @@
 	}()
 }
 
-// probe asks the upstream at addr for its load.
-func (h *host) probe(addr string) (policy.Status, *policy.Load) {
-	c, err := h.up.connect(context.Background(), addr, time.Now().Add(probeTimeout))
+// probe asks an upstream for its load.
+func (h *host) probe(to dial) (policy.Status, *policy.Load) {
+	c, err := h.up.connect(context.Background(), to, time.Now().Add(probeTimeout))
+	if errors.Is(err, errNoSocket) {
+		return policy.Moot, nil
+	}
 	if err != nil {
 		return policy.ConnectFailed, nil
 	}
-	resp, err := c.exchange(&http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/load"}, Host: addr})
+	resp, err := c.exchange(&http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/load"}, Host: to.addr})
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(io.LimitReader(resp.Body, mostReport))
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -39,7 +39,7 @@
 	bodyTime = 2 * time.Second
 	// idleTime is how long a client's connection may stand idle; 2 s are owed. Guards against clients that ask once
 	// and keep their connection for good. A client that asks more seldom pays with a new connection each time.
-	idleTime = 5 * time.Second
+	idleTime = 2100 * time.Millisecond
 	// quietLeast is how long a connection has been quiet at least when it is closed to make room: a new one's
 	// first bytes may be on their way.
 	quietLeast = 250 * time.Millisecond
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -285,6 +285,24 @@
 	}
 }
 
+// TestIdleClientsEnd: a client that has asked once and keeps its connection holds a descriptor for about 2 s, not for
+// good.
+func TestIdleClientsEnd(t *testing.T) {
+	w := start(t, newScript(), upstream(t, say(okAnswer)), "127.0.0.1:1")
+	c := w.connect(t)
+	c.write(plainGet)
+	c.read(t)
+	began := time.Now()
+	if _, err := c.r.ReadByte(); err != io.EOF {
+		t.Errorf("read: %v, want the end", err)
+	}
+	if d := time.Since(began); d < 1900*time.Millisecond {
+		t.Errorf("closed after %v: 2 s are owed", d)
+	} else if d > patience/2 {
+		t.Errorf("closed after %v", d)
+	}
+}
+
 // TestOneIdOpenOnce: while a request is open another under its id is turned away, on whatever connection, and does not
 // disturb it; afterwards the id is free again.
 func TestOneIdOpenOnce(t *testing.T) {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -23,6 +23,10 @@
 const (
 	// mostInterim bounds the 1xx answers before the final one.
 	mostInterim = 5
+	// answerTime is how long an answer may take from its first byte to its last. Guards against answers that stop in the
+	// middle, whose request would else wait for its whole time. An upstream that writes its answer in pieces and pauses
+	// longer would be given up wrongly.
+	answerTime = 500 * time.Millisecond
 	// idleShare is the part of the idle limit after which an idle connection is closed: the upstream closes it
 	// at the limit, and a request that crosses that close is lost to a reset.
 	idleShare = 0.6
@@ -77,17 +81,27 @@
 	idleFor     time.Duration // how long a connection is kept idle
 
 	mu   sync.Mutex
-	idle map[string][]*conn // by address; the last one used comes last
+	idle map[dial][]*conn // the last one used comes last
 }
 
+// dial is where an upstream is reached, and which one it is: an address may pass from one to another.
+type dial struct {
+	addr   string
+	id     policy.ServerID
+	bornMs int64
+}
+
+func (d dial) String() string { return d.addr }
+
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
-	addr    string
+	to      dial
 	release func() // of its descriptor
 	r       *bufio.Reader
 	w       *bufio.Writer
 	since   time.Time
+	until   time.Time // the deadline of the present exchange
 }
 
 func (c *conn) Close() error {
@@ -99,24 +113,24 @@
 func newUpstreams(cfg policy.Config, s *sockets) *upstreams {
 	return &upstreams{
 		sockets: s, dialTimeout: cfg.DialTimeout, idleFor: time.Duration(float64(cfg.ConnIdle) * idleShare),
-		idle: map[string][]*conn{},
+		idle: map[dial][]*conn{},
 	}
 }
 
-// reuse returns an idle connection to addr, or nil. One on which the upstream has closed, or has said
+// reuse returns an idle connection, or nil. One on which the upstream has closed, or has said
 // something unasked, is of no use: what is written to it would end as a reset.
-func (u *upstreams) reuse(addr string, deadline time.Time) *conn {
+func (u *upstreams) reuse(to dial, deadline time.Time) *conn {
 	for {
 		u.mu.Lock()
-		list := u.idle[addr]
+		list := u.idle[to]
 		if len(list) == 0 {
 			u.mu.Unlock()
 			return nil
 		}
 		c := list[len(list)-1]
-		u.setIdle(addr, list[:len(list)-1])
+		u.setIdle(to, list[:len(list)-1])
 		u.mu.Unlock()
-		c.SetDeadline(deadline)
+		c.setUntil(deadline)
 		if time.Since(c.since) < u.idleFor && c.quiet() {
 			return c
 		}
@@ -124,13 +138,19 @@
 	}
 }
 
-// setIdle replaces an address's list, and drops an empty one: addresses come and go for ever.
-func (u *upstreams) setIdle(addr string, list []*conn) {
+// setIdle replaces an upstream's list, and drops an empty one: upstreams come and go for ever.
+func (u *upstreams) setIdle(to dial, list []*conn) {
 	if len(list) == 0 {
-		delete(u.idle, addr)
+		delete(u.idle, to)
 		return
 	}
-	u.idle[addr] = list
+	u.idle[to] = list
+}
+
+// setUntil sets the deadline of an exchange.
+func (c *conn) setUntil(t time.Time) {
+	c.until = t
+	c.SetDeadline(t)
 }
 
 // quiet reports whether nothing is there to be read, neither bytes nor the end.
@@ -144,15 +164,15 @@
 	}
 	c.since = time.Now()
 	u.mu.Lock()
-	u.idle[c.addr] = append(u.idle[c.addr], c)
+	u.idle[c.to] = append(u.idle[c.to], c)
 	u.mu.Unlock()
 }
 
-// hangUp closes the idle connections to addr.
-func (u *upstreams) hangUp(addr string) {
+// hangUp closes the idle connections to an upstream.
+func (u *upstreams) hangUp(to dial) {
 	u.mu.Lock()
-	list := u.idle[addr]
-	delete(u.idle, addr)
+	list := u.idle[to]
+	delete(u.idle, to)
 	u.mu.Unlock()
 	for _, c := range list {
 		c.Close()
@@ -163,14 +183,14 @@
 func (u *upstreams) closeIdle(d time.Duration, most int) int {
 	var old []*conn
 	u.mu.Lock()
-	for addr, list := range u.idle {
+	for to, list := range u.idle {
 		n := 0
 		for n < len(list) && len(old) < most && time.Since(list[n].since) >= d {
 			old = append(old, list[n])
 			n++
 		}
 		if n > 0 {
-			u.setIdle(addr, slices.Clone(list[n:]))
+			u.setIdle(to, slices.Clone(list[n:]))
 		}
 	}
 	u.mu.Unlock()
@@ -197,9 +217,9 @@
 	}
 }
 
-// connect returns an idle connection to addr, or dials one.
-func (u *upstreams) connect(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
-	if c := u.reuse(addr, deadline); c != nil {
+// connect returns an idle connection, or dials one.
+func (u *upstreams) connect(ctx context.Context, to dial, deadline time.Time) (*conn, error) {
+	if c := u.reuse(to, deadline); c != nil {
 		return c, nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(u.dialTimeout)))
@@ -210,14 +230,14 @@
 	}
 	var d net.Dialer
 	d.KeepAlive = -1 // idle connections do not live long enough for it
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := d.DialContext(ctx, "tcp", to.addr)
 	if err != nil {
 		release()
 		return nil, err
 	}
-	c := &conn{Conn: nc, addr: addr, release: release}
+	c := &conn{Conn: nc, to: to, release: release}
 	c.r, c.w = bufio.NewReaderSize(nc, connBuffer), bufio.NewWriterSize(nc, writeBuffer)
-	c.SetDeadline(deadline)
+	c.setUntil(deadline)
 	return c, nil
 }
 
@@ -243,6 +263,11 @@
 		return nil, errNotWritten{err}
 	}
 	for range mostInterim {
+		c.SetReadDeadline(c.until)
+		if _, err := c.r.Peek(1); err != nil {
+			return nil, err
+		}
+		c.SetReadDeadline(earlier(c.until, time.Now().Add(answerTime)))
 		if err := peekHead(c.r); err != nil {
 			return nil, err
 		}
@@ -258,14 +283,14 @@
 }
 
 // attempt carries out one attempt, and tells its one outcome.
-func (h *host) attempt(a *attempt, addr string) {
+func (h *host) attempt(a *attempt, to dial) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if !a.onCancel(cancel) {
 		h.settle(a, policy.Canceled, nil, answer{})
 		return
 	}
-	c, err := h.up.connect(ctx, addr, a.deadline)
+	c, err := h.up.connect(ctx, to, a.deadline)
 	if err != nil {
 		h.broken(a, errNotWritten{err})
 		return
@@ -287,6 +312,9 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		status := policy.AppError
+		if resp.StatusCode/100 == 4 {
+			status = policy.Rejected
+		}
 		if s := resp.StatusCode; (s == http.StatusServiceUnavailable || s == http.StatusGatewayTimeout) &&
 			resp.Header.Get("X-Not-Processed") == "1" {
 			status = policy.Full
@@ -343,9 +371,11 @@
 	switch {
 	case a.isCanceled():
 		status = policy.Canceled
+	case errors.Is(err, errNoSocket): // nothing was wrong with the upstream
+		status = policy.Moot
 	case errors.As(err, &notWritten): // whatever ended it, the upstream never had the whole
 		status = policy.ConnectFailed
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(a.deadline): // else the answer has stalled
 		status = policy.Timeout
 	}
 	h.log.Debug("attempt", "request", a.req.header.Get("X-Request-Id"), "upstream", a.server, "status", status, "err", err)
--- a/policy/api.go
+++ b/policy/api.go
@@ -140,6 +140,7 @@
 	Reset
 	Canceled
 	Moot
+	Rejected // the server holds the request itself for unusable, which says nothing of the server's health
 )
 
 // NotRun reports whether s proves that the attempt was never executed.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -309,7 +309,7 @@
 // Outcome takes the end of an attempt.
 func (b *Balancer) Outcome(now Time, o Outcome, act Actions) {
 	if s := b.servers[o.Server]; s != nil {
-		if o.Status == OK {
+		if o.Status == OK || o.Status == Rejected {
 			s.fails, s.lastOK = 0, now
 		} else {
 			b.failed(now, s, o.Status)
@@ -339,6 +339,8 @@
 	case r.ended:
 		b.cancelAll(r, act)
 		b.forget(r)
+	case r.out == 0 && o.Status == Rejected: // no other server could use it either
+		b.finish(now, r, false, act)
 	case r.out == 0 && !b.send(now, r, b.set(now), act):
 		b.finish(now, r, true, act)
 	}
