--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -240,7 +240,7 @@
 			c.Settings.Config.Classes[i].Aim = aim
 		}
 	})
-	text := "GET /read HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nX-Cost: %d\n\n"
+	text := "GET /read HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 5000\nX-Cost: %d\n\n"
 	if resp, _ := w.ask(t, fmt.Sprintf(text, 1000)); resp.StatusCode == http.StatusOK {
 		t.Fatalf("answer %d", resp.StatusCode)
 	}
