--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -524,7 +524,7 @@
 	free, busy := upstream(t, serve("queue=0", service)), upstream(t, serve("queue=100", 20*service))
 	w := start(t, nil, free, "127.0.0.1:1", func(c *Config) {
 		c.Known.Hosts = append(c.Known.Hosts, listEntry{Host: "b", Dial: busy, Site: "z", Health: "active"})
-		c.Settings.Config.ProbeTariff = 1e6 // nothing is probed but for the first request
+		c.Settings.Config.ProbeTariff = 1e6      // nothing is probed but for the first request
 		c.Settings.Config.Classes[1].Worth = 1e4 // so that the others stand little of a queue, well below their aim
 	})
 	if resp, _ := w.ask(t, plainGet); resp.StatusCode != http.StatusOK {
