Fit the ready set to a sidecar's traffic

Cause: maxReadySet of 5 in policy.go cuts a fleet of six, whatever a sidecar sends; the spares come in only when a member is ejected. Ruled out: ejections (none in those seconds), set()'s rule of half (never reached).

Change: five for little traffic as before, and more while each member still sees two requests in a mark's life. Loopback test: the sixth was never asked.

--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -600,3 +600,33 @@
 		t.Error("nobody was served")
 	}
 }
+
+// TestBusySidecarUsesWholeFleet guards against upstreams that idle because no busy sidecar has them in its ready set.
+func TestBusySidecarUsesWholeFleet(t *testing.T) {
+	const fleet = 6
+	var asked [fleet]atomic.Int64
+	var hosts []listEntry
+	for i := range fleet {
+		addr := upstream(t, answering(func(q *http.Request, c net.Conn) {
+			asked[i].Add(1)
+			io.WriteString(c, strings.ReplaceAll(okAnswer, "\n", "\r\n"))
+		}))
+		hosts = append(hosts, listEntry{Host: fmt.Sprint("u", i), Dial: addr, Site: "z", Health: "active"})
+	}
+	w := start(t, nil, "127.0.0.1:1", "127.0.0.1:1", func(c *Config) {
+		c.Known.Hosts = hosts
+		c.Settings.Config.MayProbe = false
+	})
+	c := w.connect(t)
+	for range 200 {
+		c.write(plainGet)
+		if resp, _ := c.read(t); resp.StatusCode != http.StatusOK {
+			t.Fatalf("answer %d", resp.StatusCode)
+		}
+	}
+	for i := range asked {
+		if asked[i].Load() == 0 {
+			t.Errorf("upstream %d of %d was never asked", i, fleet)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,9 +14,13 @@
 const (
 	// probeSample is d of JBT-d: two choices already tilt the pick (section 3.2).
 	probeSample = 2
-	// maxReadySet keeps each member's figures fresh: more members than this see too few of a sidecar's
-	// own requests and probes.
-	maxReadySet = 5
+	// usualReadySet keeps each member's figures fresh in a sidecar that sends little: more members than this see too
+	// few of its own requests and probes. One that sends more has a larger set.
+	usualReadySet = 5
+	// freshRequests is how many requests each member is to see while a mark lives.
+	freshRequests = 2
+	// gapMemory is the weight of a new gap between requests in their mean.
+	gapMemory = 0.02
 	// probeSpend is what probing may cost in points of the result; with the tariff it gives the period T.
 	probeSpend = 0.05
 	// refusedShare of it is spent on a request that ends up refused: it comes back up to three times.
@@ -48,6 +52,9 @@
 	ready    []*server // ready servers in this sidecar's order of preference
 	zonal    bool      // the ready set is of the own zone
 	setSize  int       // how many of them make up the ready set
+	mostSet  int       // how many may, by the traffic
+	gap      float64   // smoothed: between requests
+	lastAsk  Time      // the latest request
 	requests map[RequestID]*request
 
 	threshold float64       // shortest queue reported so far in the last probe round
@@ -73,7 +80,7 @@
 	b := &Balancer{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		classes: map[string]*class{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		threshold: math.Inf(1), credit: probeSample, busy: 1,
+		threshold: math.Inf(1), credit: probeSample, busy: 1, mostSet: usualReadySet, gap: float64(time.Second),
 	}
 	for _, c := range cfg.Classes {
 		b.classes[c.Name] = &class{Class: c}
@@ -156,7 +163,7 @@
 		near = slices.Clone(pool)
 	}
 	n := len(near)
-	b.setSize = min(n, maxReadySet)
+	b.setSize = min(n, b.mostSet)
 	if b.cfg.ConnectionTariff > 0 {
 		perSidecar := 100 * connSpend / b.cfg.ConnectionTariff * float64(len(pool)) / float64(b.cfg.GroupSize)
 		b.setSize = min(b.setSize, max(minReadySet, int(perSidecar)))
@@ -175,8 +182,26 @@
 	b.ready = ordered
 }
 
+// pace fits the size of the ready set to the traffic. It guards against sidecars that refuse while a server idles which
+// they never ask: where few sidecars share a small fleet, each one left out of a set is capacity that nobody uses. With
+// many busy sidecars, it has each hold connections to more servers; where those are dear, ConnectionTariff bounds it.
+func (b *Balancer) pace(now Time) {
+	if b.lastAsk != 0 {
+		b.gap += gapMemory * (float64(min(now-b.lastAsk, time.Second)) - b.gap)
+	}
+	b.lastAsk = now
+	most := max(usualReadySet, int(float64(b.markLife)/freshRequests/max(b.gap, float64(b.cfg.Tick)/10, 1)))
+	if most > b.mostSet || most < b.mostSet/2 { // not at each swing
+		b.mostSet = most
+		if b.setSize != min(most, len(b.ready)) {
+			b.rebuild()
+		}
+	}
+}
+
 // Request takes a client's request.
 func (b *Balancer) Request(now Time, q Request, act Actions) {
+	b.pace(now)
 	c := b.classes[q.Class]
 	if c == nil { // unknown: assume the worst of a repeat and the best of a late answer
 		left := q.Expires - now
