Tell refused clients when to come back

Cause: finish() in policy.go refused with a delay of 0, always. Change: the time that the first server takes to work off what stands in the request's way, at most what the settings allow. The refusal itself is given at once as before. Loopback test: a refusal carried no Retry-After before.

--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -561,6 +561,7 @@
 		io.WriteString(c, text)
 	}))
 	w := start(t, nil, addr, "127.0.0.1:1", func(c *Config) {
+		c.Settings.Config.MaxRetryAfter = time.Second
 		c.Settings.Config.ProbeTariff = 1e6      // nothing is probed but for the first request
 		c.Settings.Config.Classes[1].Worth = 1e4 // so that the others stand little of a queue
 	})
@@ -569,26 +570,30 @@
 	}
 	learnt.Store(true)
 	const crowd = 30
-	answers := make(chan int, crowd)
+	answers := make(chan *http.Response, crowd)
 	for range crowd {
 		c := w.connect(t)
 		c.write(plainGet)
 		go func() {
 			resp, err := http.ReadResponse(c.r, nil)
 			if err != nil {
-				answers <- 0
-				return
+				resp = &http.Response{}
 			}
-			answers <- resp.StatusCode
+			answers <- resp
 		}()
 	}
-	if status := next(t, "answer", answers); status != http.StatusServiceUnavailable {
-		t.Errorf("answer %d while all others wait, want a refusal", status)
+	first := next(t, "answer", answers)
+	if first.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("answer %d while all others wait, want a refusal", first.StatusCode)
+	}
+	// It tells when to come back: a client that asks again at once is refused again.
+	if wait, err := strconv.ParseFloat(first.Header.Get("Retry-After"), 64); err != nil || wait <= 0 || wait > 1 {
+		t.Errorf("Retry-After %q", first.Header.Get("Retry-After"))
 	}
 	close(gate)
 	served := 0
 	for range crowd - 1 {
-		switch status := next(t, "answer", answers); status {
+		switch status := next(t, "answer", answers).StatusCode; status {
 		case http.StatusOK:
 			served++
 		case http.StatusServiceUnavailable:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -591,13 +591,31 @@
 		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
 	}
 	if retry && mayRefuse(r) {
-		act.Refuse(r.ID, 0)
+		act.Refuse(r.ID, b.comeBack(now, r))
 	} else {
 		act.Fail(r.ID)
 	}
 	b.forget(r)
 }
 
+// comeBack is how long r's client should wait before it asks again: until the server that will be free first has worked
+// off what stands in the way of r, if nothing else came; where none is known to be free ever, a mark's life, in which
+// reports are renewed. It guards against refusals that beget retries at once, which are refused alike. It does harm
+// where queues fall faster than by work, as when a fleet grows: its clients then idle for as long.
+func (b *Balancer) comeBack(now Time, r *request) time.Duration {
+	if !b.cfg.HintsRetry {
+		return 0
+	}
+	wait := time.Hour
+	for _, s := range b.set(now) {
+		wait = min(wait, b.expected(s))
+	}
+	if wait == time.Hour {
+		wait = b.markLife
+	}
+	return min(max(wait-max(r.limit, 0), b.cfg.Tick), b.cfg.MaxRetryAfter).Round(time.Millisecond)
+}
+
 func (b *Balancer) cancelAll(r *request, act Actions) {
 	for i, a := range r.attempts {
 		if a.out && b.cfg.MayCancel && !a.canceled {
