Let no request wait on after its probes are answered

Cause: Probed() in policy.go let a held request go only to a server of its own round, and counted no probe that failed or told nothing; it then waited until patience. Ruled out: new connections and the other zone (a probe there comes back after 12 ms).

Change: once its round is over, whatever the probes brought, the request goes to a server within its limit by a fresh figure; where none ever told a figure, to any. Loopback test: all refused before, with reports that cannot be read and with probes that are turned away.

--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -663,3 +663,35 @@
 		t.Errorf("%d of %d connections kept", kept, many)
 	}
 }
+
+// TestProbesThatTellNothing guards against requests that wait for reports which do not come: once the probes of its round
+// are answered, a request goes on without.
+func TestProbesThatTellNothing(t *testing.T) {
+	loads := map[string]string{
+		"unreadable": "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nqueue=?",
+		"failed":     "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+	}
+	for name, load := range loads {
+		t.Run(name, func(t *testing.T) {
+			serve := func(load string) string {
+				return upstream(t, answering(func(q *http.Request, c net.Conn) {
+					text := strings.ReplaceAll(okAnswer, "\n", "\r\n")
+					if q.URL.Path == "/load" {
+						text = load
+					}
+					io.WriteString(c, text)
+				}))
+			}
+			w := start(t, nil, serve(load), "127.0.0.1:1", func(c *Config) {
+				for i := range 3 {
+					c.Known.Hosts = append(c.Known.Hosts, listEntry{Host: fmt.Sprint("u", i), Dial: serve(load), Site: "z", Health: "active"})
+				}
+			})
+			for range 3 {
+				if resp, _ := w.ask(t, plainGet); resp.StatusCode != http.StatusOK {
+					t.Errorf("answer %d, though upstreams are free", resp.StatusCode)
+				}
+			}
+		})
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -233,8 +233,7 @@
 		if s := b.pick(now, r, set); s != nil && b.inTime(s, r.limit) {
 			set = []*server{s} // a second draw could fall on one that is too slow
 		} else if s != nil {
-			set = slices.DeleteFunc(set, func(s *server) bool { return now-s.told > b.markLife || !b.inTime(s, r.limit) })
-			if len(set) == 0 { // work that nobody awaits any more keeps queues long for all
+			if set = b.fitting(now, r, set); len(set) == 0 { // work that nobody awaits any more keeps queues long for all
 				b.finish(now, r, true, act)
 				return
 			}
@@ -285,44 +284,64 @@
 	if s == nil {
 		return
 	}
+	told := false // its queue
 	if p.Status != OK {
 		b.failed(now, s, p.Status)
-		return
-	}
-	s.fails, s.lastOK = 0, now
-	q := queueOf(p.Load)
-	if q < 0 {
-		return
-	}
-	b.busy += smooth * (min(q, 1) - b.busy)
-	if b.newRound || q < b.threshold {
-		b.newRound, b.threshold = false, q
-		for _, t := range b.ready {
-			t.marked = t.marked && t.queue <= b.threshold
+	} else {
+		s.fails, s.lastOK = 0, now
+		if q := queueOf(p.Load); q >= 0 {
+			told = true
+			b.busy += smooth * (min(q, 1) - b.busy)
+			if b.newRound || q < b.threshold {
+				b.newRound, b.threshold = false, q
+				for _, t := range b.ready {
+					t.marked = t.marked && t.queue <= b.threshold
+				}
+			}
+			b.report(now, s, p.Load)
 		}
 	}
-	b.report(now, s, p.Load)
 	for i, r := range b.held {
 		if !slices.Contains(r.probed, s) {
 			continue
 		}
 		r.replies++
-		if r.replies == len(r.probed) && b.zonal && !b.inTime(s, r.limit) && b.credit >= probeSample {
-			r.probed = b.renew(r, b.ready[b.setSize:], act) // the own zone is full: look abroad
-			continue
-		}
-		if b.inTime(s, r.limit) {
+		var to []*server
+		switch {
+		case told && b.inTime(s, r.limit):
 			// The first reply of its own round is the request's threshold, and so its mark. Waiting for a
 			// mark under the threshold of another request's round would refuse what could be served.
 			b.threshold, s.marked, s.markedAt = s.queue, true, now
+			to = []*server{s}
+		case r.replies < len(r.probed):
+			continue
+		case r.replies == len(r.probed) && told && b.zonal && b.credit >= probeSample:
+			r.probed = b.renew(r, b.ready[b.setSize:], act) // the own zone is full: look abroad
+			continue
+		default:
+			// Guards against requests that wait for nothing once their round is over: the servers probed were too
+			// slow, failed, or said nothing that can be read, while another is known to be free. Probes that all fail
+			// at once by a fault of our own would have the latest figures, as old as a mark may be, used for longer.
+			to = b.fitting(now, r, b.set(now))
+		}
+		if len(to) > 0 {
 			b.held = slices.Delete(b.held, i, i+1)
 			r.patience = 0
-			b.send(now, r, []*server{s}, act)
+			b.send(now, r, to, act)
 			break
 		}
 	}
 }
 
+// fitting returns those of set that would answer r within its limit by fresh figures, or, where none ever told any,
+// as far as their answers tell.
+func (b *Balancer) fitting(now Time, r *request, set []*server) []*server {
+	tell := slices.ContainsFunc(set, func(s *server) bool { return s.reported })
+	return slices.DeleteFunc(slices.Clone(set), func(s *server) bool {
+		return tell && now-s.told > b.markLife || !b.inTime(s, r.limit) || !b.maySend(now, r, s)
+	})
+}
+
 // hasMark reports whether s has a mark that is not stale.
 func (b *Balancer) hasMark(now Time, s *server) bool { return s.marked && now-s.markedAt <= b.markLife }
 
