--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -695,3 +695,31 @@
 		})
 	}
 }
+
+// TestLateRetryBesideAFreeUpstream: a retry whose aim has passed is still worth a share, and is served where nobody waits.
+func TestLateRetryBesideAFreeUpstream(t *testing.T) {
+	var healthy atomic.Bool
+	addr := upstream(t, answering(func(q *http.Request, c net.Conn) {
+		text := "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+		if healthy.Load() {
+			text = strings.ReplaceAll(okAnswer, "\n", "\r\n")
+		}
+		io.WriteString(c, text)
+	}))
+	const aim = 300 * time.Millisecond
+	w := start(t, nil, addr, "127.0.0.1:1", func(c *Config) {
+		c.Settings.Config.MayProbe = false
+		for i := range c.Settings.Config.Classes {
+			c.Settings.Config.Classes[i].Aim, c.Settings.Config.Classes[i].LateShare = aim, 0.5
+		}
+	})
+	text := "GET /read HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 5000\nX-Cost: 1000\n\n"
+	if resp, _ := w.ask(t, text); resp.StatusCode == http.StatusOK {
+		t.Fatalf("answer %d", resp.StatusCode)
+	}
+	healthy.Store(true)
+	time.Sleep(aim + 50*time.Millisecond)
+	if resp, _ := w.ask(t, text); resp.StatusCode != http.StatusOK {
+		t.Errorf("answer %d to a late retry, though the upstream is free", resp.StatusCode)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -218,7 +218,11 @@
 	// Under overload what is worth less for its time gives way first, by standing less of a queue.
 	bare := b.delay.at(0)
 	scale := math.Sqrt(c.Worth/c.Aim.Seconds()/max(b.topWorth, 1e-9)) * (1 - lateBand*b.rng.Float64())
-	r.limit = time.Duration(bare + (float64(r.useful-now)-bare)*scale)
+	// An answer after the aim is worth a share, and stands the square of that share of a queue. Guards against turning
+	// away, beside free servers, the retries of requests whose answers got lost or came too late. It gives way first when
+	// there is much else to do; by the share itself it would not, and late work would crowd out what is in time.
+	late := (float64(r.end-now) - bare) * scale * c.LateShare * c.LateShare
+	r.limit = time.Duration(bare + max((float64(r.useful-now)-bare)*scale, late))
 	if r.end <= now+b.cfg.Tick { // nobody gains from the work
 		b.finish(now, r, false, act)
 		return
