--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"heathstack/internal/wire"
+	"quillfront/internal/wire"
 )
 
 func main() {
--- /dev/null
+++ b/cmd/quillfront/main.go
@@ -0,0 +1,82 @@
+// Command quillfront is the balancer's program. Without a subcommand it serves: it is one sidecar, which takes a client
+// application's requests and sends each to the server that the decision module picks.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"quillfront/internal/daemon"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "quillfront:", err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+// root returns the whole command line.
+func root() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "quillfront",
+		Short: "A client-side load balancer",
+		Long: "quillfront balances an application's requests over a fleet of servers that a discovery lists.\n" +
+			"Without a subcommand it serves, as the platform starts it. To see it at work: quillfront demo",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          serve,
+	}
+	root.AddCommand(&cobra.Command{
+		Use:   "serve",
+		Short: "Be the sidecar of one application, by the configuration that GW_CONFIG names",
+		Long: "serve takes requests at the address that the configuration gives, until SIGTERM; it then answers all that it\n" +
+			"has taken and ends. SIGHUP reads the configuration again. GW_CONFIG names the file, which is JSON; GW_NAME,\n" +
+			"GW_LISTEN and GW_DISCOVERY stand in for keys that it lacks.",
+		Args: cobra.NoArgs,
+		RunE: serve,
+	})
+	return root
+}
+
+// serve is one sidecar.
+func serve(cmd *cobra.Command, _ []string) error {
+	// From the first moment on, as SIGHUP would otherwise end the program.
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+	cfg, err := daemon.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	// The process has one core at most: more threads that run Go code would only take turns on it.
+	runtime.GOMAXPROCS(1)
+	// Guards against being killed for memory: the rest is for stacks of the runtime, code and the kernel.
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
+
+	s, err := daemon.New(cfg, daemon.NewLog(os.Stderr))
+	if err != nil {
+		return err
+	}
+	go func() {
+		for range hangUp {
+			if cfg, err := daemon.LoadConfig(os.Getenv); err != nil {
+				s.ReloadFailed(err)
+			} else {
+				s.Reload(cfg)
+			}
+		}
+	}()
+	return s.Run(cmd.Context())
+}
--- a/internal/sidecar/config.go
+++ b/internal/daemon/config.go
@@ -1,4 +1,4 @@
-package sidecar
+package daemon
 
 import (
 	"encoding/json"
@@ -8,7 +8,9 @@
 	"os"
 	"strconv"
 
-	"heathstack/internal/settings"
+	"quillfront/internal/discovery"
+	"quillfront/internal/engine"
+	"quillfront/internal/settings"
 )
 
 // Config is what one sidecar is told at its start.
@@ -17,9 +19,9 @@
 	Listen    string // where clients connect
 	Discovery string // address of discovery
 	Seed      uint64
-	MemoryMB  int // the sidecar is killed over it
-	Sockets   int // descriptors that the process may hold
-	Known     *list
+	MemoryMB  int          // the sidecar is killed over it
+	Sockets   int          // descriptors that the process may hold
+	Known     *engine.List // the list as it was last known
 	Settings  settings.Settings
 }
 
@@ -93,9 +95,11 @@
 		}
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
-		if c.Known, err = parseList(file.Known); err != nil {
+		known, err := discovery.Parse(file.Known)
+		if err != nil {
 			return Config{}, fmt.Errorf("known: %w", err)
 		}
+		c.Known = &known
 	}
 	if c.Settings, err = settings.Parse(file.Settings); err != nil {
 		return Config{}, err
--- a/internal/sidecar/drain.go
+++ b/internal/daemon/daemon.go
@@ -1,4 +1,6 @@
-package sidecar
+// Package daemon is the program that runs beside an application: it reads the platform's configuration, puts the engine,
+// its transport, the discovery and the front together, and owns their start, reload and planned end.
+package daemon
 
 import (
 	"context"
@@ -11,7 +13,14 @@
 	"sync"
 	"time"
 
-	"heathstack/policy"
+	"golang.org/x/sync/semaphore"
+
+	"quillfront/internal/discovery"
+	"quillfront/internal/engine"
+	"quillfront/internal/httpfront"
+	"quillfront/internal/sockets"
+	"quillfront/internal/upstream"
+	"quillfront/policy"
 )
 
 const (
@@ -25,12 +34,16 @@
 
 // Sidecar is one real sidecar.
 type Sidecar struct {
-	cfg    Config
-	log    *slog.Logger
-	host   *host
-	server *server
-	socks  *sockets
-	stop   context.CancelFunc
+	cfg       Config
+	log       *slog.Logger
+	engine    *engine.Engine
+	transport *upstream.Transport
+	server    *httpfront.Server
+	sockets   *sockets.Budget
+	room      *semaphore.Weighted // for bodies
+
+	mu        sync.Mutex
+	discovery string // the address that is asked now
 }
 
 // New makes a sidecar. It opens no socket.
@@ -42,16 +55,15 @@
 	return newSidecar(cfg, b, log), nil
 }
 
-func newSidecar(cfg Config, b module, log *slog.Logger) *Sidecar {
-	ctx, stop := context.WithCancel(context.Background())
-	s := &Sidecar{
-		cfg: cfg, log: log, socks: newSockets(cfg.Sockets), stop: stop,
-	}
-	up := newUpstreams(cfg.Settings.Config, s.socks)
-	s.host = newHost(ctx, cfg, b, up, log)
-	s.server = newServer(s.host, cfg.MemoryMB, s.socks, log)
-	s.socks.evict = []func() bool{func() bool { return up.closeIdle(0, 1) > 0 }, s.server.evict}
-	go up.sweep(ctx)
+func newSidecar(cfg Config, b engine.Module, log *slog.Logger) *Sidecar {
+	s := &Sidecar{cfg: cfg, log: log, sockets: sockets.New(cfg.Sockets), room: httpfront.NewRoom(cfg.MemoryMB), discovery: cfg.Discovery}
+	s.transport = upstream.New(cfg.Settings, s.sockets, log)
+	s.engine = engine.New(engine.Options{
+		Config: cfg.Settings.Config, Module: b, Transport: s.transport, Source: discovery.Client{Addr: cfg.Discovery},
+		Known: cfg.Known, Log: log,
+	})
+	s.server = httpfront.New(s.engine, s.room, s.sockets, log)
+	s.sockets.OnShortage(s.transport.MakeRoom, s.server.Evict)
 	return s
 }
 
@@ -65,29 +77,29 @@
 }
 
 func (s *Sidecar) serve(ctx context.Context, ln *net.TCPListener) error {
-	defer s.stop()
+	defer s.close()
 	backlog := &backlog{TCPListener: ln}
 	served := make(chan error, 1)
 	go func() { served <- s.server.Serve(backlog) }()
-	s.log.Info("ready", "name", s.cfg.Name, "listen", ln.Addr().String(), "load", s.host.String())
+	s.log.Info("ready", "name", s.cfg.Name, "listen", ln.Addr().String(), "load", s.engine.String())
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	s.log.Info("draining", "load", s.host.String())
+	s.log.Info("draining", "load", s.engine.String())
 	// Answers close their connections from here on, and idle ones are closed: a request that crosses that comes
 	// again on a new connection, which is still accepted.
-	s.server.drain()
-	end, cancel := context.WithTimeout(context.Background(), drainWindow+s.host.longest+drainSlack)
+	s.server.Drain()
+	end, cancel := context.WithTimeout(context.Background(), drainWindow+s.engine.Longest()+drainSlack)
 	defer cancel()
 	backlog.drain(time.Now().Add(drainWindow))
 	select {
 	case <-served: // the backlog is empty
 	case <-end.Done():
 	}
-	s.log.Info("drained", "load", s.host.String(), "all_ended", s.server.wait(end))
-	s.server.closeAll()
+	s.log.Info("drained", "load", s.engine.String(), "all_ended", s.server.Wait(end))
+	s.server.CloseAll()
 	return nil
 }
 
@@ -99,7 +111,20 @@
 		!reflect.DeepEqual(cfg.Settings, old.Settings) {
 		s.log.Warn("reload: name, listen, limits or settings differ, which takes a restart")
 	}
-	s.log.Info("reloaded", "discovery", cfg.Discovery, "moved", s.host.move(cfg.Discovery))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	moved := cfg.Discovery != s.discovery
+	if moved {
+		s.discovery = cfg.Discovery
+		s.engine.Move(discovery.Client{Addr: cfg.Discovery})
+	}
+	s.log.Info("reloaded", "discovery", cfg.Discovery, "moved", moved)
+}
+
+// close ends all that New has started.
+func (s *Sidecar) close() {
+	s.engine.Close()
+	s.transport.Close()
 }
 
 // ReloadFailed tells that a new configuration cannot be used, and that the old one stays.
--- a/internal/sidecar/log.go
+++ b/internal/daemon/log.go
@@ -1,4 +1,4 @@
-package sidecar
+package daemon
 
 import (
 	"context"
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,153 @@
+// Package discovery speaks the platform's protocol for the list of servers: it reads list messages, and holds watches on
+// a discovery over HTTP/1.1. It keeps no list.
+package discovery
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"quillfront/internal/engine"
+	"quillfront/policy"
+)
+
+// message is a message of discovery: the whole list of upstreams, or the changes since the one before.
+type message struct {
+	Seq   *int64  `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []entry `json:"hosts"`
+}
+
+// entry is what discovery says of an upstream.
+type entry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs int64   `json:"born_ms"`
+}
+
+var states = map[string]policy.ServerState{
+	"active": policy.Ready, "leaving": policy.Draining, "left": policy.Gone,
+}
+
+// Parse reads a message of discovery. It rejects the whole of one that is malformed anywhere, so that a list is never
+// taken over in part.
+func Parse(text []byte) (engine.List, error) {
+	var m message
+	if err := json.Unmarshal(text, &m); err != nil {
+		return engine.List{}, fmt.Errorf("server list: %w", err)
+	}
+	if m.Seq == nil {
+		return engine.List{}, fmt.Errorf("server list: no seq in %.80q", text)
+	}
+	l := engine.List{Seq: *m.Seq, Whole: m.Whole, Servers: make([]engine.Server, len(m.Hosts))}
+	for i, e := range m.Hosts {
+		state, ok := states[e.Health]
+		switch {
+		case !ok:
+			return engine.List{}, fmt.Errorf("server list: host %q has health %q", e.Host, e.Health)
+		case e.Host == "" || e.Dial == "" && state != policy.Gone:
+			return engine.List{}, fmt.Errorf("server list: an entry lacks host or dial in %.80q", text)
+		}
+		l.Servers[i] = engine.Server{
+			ID: policy.ServerID(e.Host), Addr: e.Dial, State: state, Zone: e.Site, Cell: e.Block, Weight: e.Share, BornMs: e.BornMs,
+		}
+	}
+	return l, nil
+}
+
+// Format is the inverse of Parse, for whoever stands in for a discovery.
+func Format(l engine.List) ([]byte, error) {
+	m := message{Seq: &l.Seq, Whole: l.Whole, Hosts: make([]entry, len(l.Servers))}
+	for i, s := range l.Servers {
+		m.Hosts[i] = entry{string(s.ID), s.Addr, s.Zone, s.Cell, "", s.Weight, s.BornMs}
+		for name, state := range states {
+			if state == s.State {
+				m.Hosts[i].Health = name
+			}
+		}
+	}
+	return json.Marshal(m)
+}
+
+const (
+	// callTime is how long discovery may take until the first line of a watch: calls wait in turn.
+	callTime = 6 * time.Second
+	// quietTime is how long a watch may say nothing, not even an empty line, before it counts as broken. One
+	// comes every 2 s; a machine that has vanished says nothing for ever.
+	quietTime = 3 * time.Second
+	// dialTime is how long the connection to discovery may take.
+	dialTime = 2 * time.Second
+	// mostHead bounds the head of discovery's answer.
+	mostHead = 64 << 10
+	// mostLine bounds a line of a watch.
+	mostLine = 1 << 20
+)
+
+// Client watches the discovery at one address. It implements engine.Source.
+type Client struct {
+	Addr string // host:port
+}
+
+// Watch is a method of engine.Source.
+func (d Client) Watch(ctx context.Context, since int64, tell func(engine.List)) error {
+	query := "follow=1"
+	if since != engine.UnknownSeq {
+		query += "&since=" + strconv.FormatInt(since, 10)
+	}
+	dialer := net.Dialer{Timeout: dialTime}
+	c, err := dialer.DialContext(ctx, "tcp", d.Addr)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	c.SetDeadline(time.Now().Add(callTime))
+	q := &http.Request{
+		Method: http.MethodGet, Host: d.Addr,
+		URL: &url.URL{Path: "/v1/servers", RawQuery: query},
+	}
+	if err := q.Write(c); err != nil {
+		return err
+	}
+	// Guards against a head or a line without end.
+	head := &io.LimitedReader{R: c, N: mostHead}
+	resp, err := http.ReadResponse(bufio.NewReader(head), q)
+	if err != nil {
+		return err
+	}
+	head.N = math.MaxInt64
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("discovery answers %s", resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, mostLine)
+	for lines.Scan() {
+		c.SetDeadline(time.Now().Add(quietTime))
+		text := bytes.TrimSpace(lines.Bytes())
+		if len(text) == 0 {
+			continue
+		}
+		l, err := Parse(text)
+		if err != nil {
+			return err
+		}
+		tell(l)
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.EOF
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,406 @@
+// Package engine hosts the decision module. It owns the module and its one lock, its clock and timers, the open requests
+// and their attempts, and the list of servers. It turns what happens into the module's events, and carries out the
+// module's actions through two interfaces: Transport, which reaches servers, and Source, which tells the list of them.
+//
+// It knows nothing of HTTP or any other protocol: to it a request is a class, a key, a cost, a time and an opaque
+// payload. It picks no server, and neither retries, hedges, refuses nor ejects by itself.
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"sync"
+	"time"
+
+	"quillfront/policy"
+)
+
+// longAgo lies between the clock's origin and the engine's start. It keeps every present time far from zero, which the
+// module takes for 'never'.
+const longAgo = time.Hour
+
+// mostWait bounds a client's wait where the settings name no class.
+const mostWait = time.Minute
+
+// mostProbes bounds the probes under way; one beyond it counts as never sent.
+const mostProbes = 64
+
+// Module is what the engine needs of a policy.Balancer.
+type Module interface {
+	Members(policy.Time, policy.ListKind, []policy.Server, policy.Actions)
+	Moved(policy.Time, policy.Actions)
+	Request(policy.Time, policy.Request, policy.Actions)
+	Outcome(policy.Time, policy.Outcome, policy.Actions)
+	Probed(policy.Time, policy.ProbeResult, policy.Actions)
+	Withdrawn(policy.Time, policy.RequestID, policy.Actions)
+	Timer(policy.Time, string, policy.Actions)
+}
+
+// Endpoint is where a server is reached, and which one it is: an address may pass from one to another, and a server that
+// has started anew is another one to whoever holds connections to it.
+type Endpoint struct {
+	Addr   string
+	ID     policy.ServerID
+	BornMs int64 // Unix time in milliseconds; 0 is long ago
+}
+
+// String returns the address.
+func (e Endpoint) String() string { return e.Addr }
+
+// Transport reaches servers by some protocol. Its methods may be called from many goroutines at once.
+type Transport interface {
+	// Do carries out one attempt and returns its one ending, by a.Deadline at the latest. It sends at most once: whether
+	// to send again is for the module to say. What it waits for ends when a is called off; see Attempt.OnCancel.
+	Do(a *Attempt, to Endpoint) Ending
+	// Probe asks a server for its load. It ends by itself within a fixed time, or when ctx does.
+	Probe(ctx context.Context, to Endpoint) (policy.Status, *policy.Load)
+	// HangUp closes the idle connections to a server. It does not block.
+	HangUp(to Endpoint)
+}
+
+// Ending is how an attempt has ended.
+type Ending struct {
+	Status policy.Status
+	Load   *policy.Load // nil if none came with the answer
+	Reply  any          // with policy.OK: the answer, for the front that asked
+}
+
+// Options is what an Engine is made of.
+type Options struct {
+	Config    policy.Config
+	Module    Module
+	Transport Transport
+	Source    Source // of the list; nil: nothing is ever told
+	Known     *List  // the list as it was last known, perhaps out of date
+	Log       *slog.Logger
+}
+
+// Engine hosts one decision module. Its methods may be called from many goroutines at once.
+type Engine struct {
+	log      *slog.Logger
+	ctx      context.Context // ends with Close
+	stop     context.CancelFunc
+	work     sync.WaitGroup // attempts, probes and watches
+	origin   time.Time      // of the module's clock
+	originMs int64          // the same instant in Unix milliseconds, read once: see started
+	to       Transport
+	classes  map[string]policy.Class
+	longest  time.Duration
+
+	// All that is below is touched under mu only.
+	mu        sync.Mutex
+	module    Module
+	requests  map[policy.RequestID]*Request // until they have ended and their attempts are back
+	names     map[string]*Request           // by Name, until they have ended
+	open      int                           // requests that have not ended
+	lastID    policy.RequestID
+	endpoints map[policy.ServerID]Endpoint // of the servers that are listed
+	source    Source
+	seq       int64              // of the last list of that source
+	stopWatch context.CancelFunc // nil while there is no watch
+	probing   int                // probes under way
+	timers    timerHeap
+	alarm     *time.Timer // fires when the first timer is due
+	alarmAt   policy.Time // zero: not set
+	after     []func(now policy.Time)
+	closing   bool          // nothing more is taken
+	drained   chan struct{} // closed once closing and open is 0
+	closed    bool          // the module is told of nothing more
+}
+
+// New returns an engine that runs until Close.
+func New(o Options) *Engine {
+	origin := time.Now().Add(-longAgo)
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Engine{
+		log: o.Log, ctx: ctx, stop: stop, origin: origin, originMs: origin.UnixMilli(), to: o.Transport,
+		classes: map[string]policy.Class{}, module: o.Module, requests: map[policy.RequestID]*Request{},
+		names: map[string]*Request{}, endpoints: map[policy.ServerID]Endpoint{}, source: o.Source, seq: UnknownSeq,
+		drained: make(chan struct{}),
+	}
+	for _, c := range o.Config.Classes {
+		e.classes[c.Name] = c
+		e.longest = max(e.longest, c.Deadline)
+	}
+	if e.longest == 0 {
+		e.longest = mostWait
+	}
+	e.alarm = time.AfterFunc(longAgo, e.ring)
+	e.alarm.Stop()
+	if o.Known != nil {
+		e.event(func(now policy.Time) { e.members(now, policy.ListCached, *o.Known) })
+	}
+	return e
+}
+
+// Longest is the longest time that a request may wait: the longest deadline of the classes.
+func (e *Engine) Longest() time.Duration { return e.longest }
+
+// Class returns the class of requests of that name.
+func (e *Engine) Class(name string) (c policy.Class, known bool) {
+	c, known = e.classes[name]
+	return c, known
+}
+
+// Now reads the module's clock. Only event may do so for an event's time: read outside the lock, it could run backwards
+// from one event to the next.
+func (e *Engine) Now() policy.Time { return time.Since(e.origin) }
+
+// event runs f, which hands one event to the module, and then those that f's actions gave rise to.
+func (e *Engine) event(f func(now policy.Time)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e.Now())
+	for len(e.after) > 0 {
+		next := e.after
+		e.after = nil
+		for _, f := range next {
+			f(e.Now())
+		}
+	}
+}
+
+// Within runs f as one event of the module's: under the lock, and with the actions that the module could call. Its actions
+// must be those of which the module may learn the outcome. It is for whoever scripts a module.
+func (e *Engine) Within(f func(now policy.Time, act policy.Actions)) {
+	e.event(func(now policy.Time) { f(now, e) })
+}
+
+// The errors of Take.
+var (
+	// ErrClosed tells that the engine takes no more requests.
+	ErrClosed = errors.New("the balancer is closed")
+	// ErrUnknownClass tells that the configuration has no class of that name.
+	ErrUnknownClass = errors.New("no such class of requests")
+	// ErrNameOpen tells that a request of that name is open.
+	ErrNameOpen = errors.New("a request of this id is open")
+)
+
+// Take hands a request to the module. Its time has run since read, a time of Now. With an error nothing was taken, and r
+// may be used again.
+//
+// It guards against two open requests under one name: servers tell requests by it, so that the answer to one could go to
+// the other. A client that uses a name twice at once on purpose gets but one of them served.
+func (e *Engine) Take(r *Request, read policy.Time) (err error) {
+	if _, known := e.classes[r.Class]; !known {
+		return fmt.Errorf("%w: %q", ErrUnknownClass, r.Class)
+	}
+	e.event(func(now policy.Time) {
+		switch {
+		case e.closing:
+			err = ErrClosed
+			return
+		case r.Name != "" && e.names[r.Name] != nil:
+			err = ErrNameOpen
+			return
+		case r.Name != "":
+			e.names[r.Name] = r
+		}
+		e.lastID++
+		e.open++
+		r.id, r.result = e.lastID, make(chan Result, 1)
+		e.requests[r.id] = r
+		e.module.Request(now, policy.Request{
+			ID: r.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Cost: r.Cost, Retry: r.Retry, Expires: read + r.Wait,
+		}, e)
+	})
+	return err
+}
+
+// Withdraw tells the module that the client has left, and reports whether the request was still open. If it was not, its
+// result is there.
+func (e *Engine) Withdraw(r *Request) (open bool) {
+	e.event(func(now policy.Time) {
+		if open = !r.ended; open {
+			e.withdraw(now, r)
+		}
+	})
+	return open
+}
+
+func (e *Engine) withdraw(now policy.Time, r *Request) {
+	e.end(r)
+	e.module.Withdrawn(now, r.id, e)
+	e.forget(r)
+}
+
+// finish gives r its final result. It guards against a second one.
+func (e *Engine) finish(r *Request, result Result) {
+	if r == nil || r.ended {
+		return
+	}
+	e.end(r)
+	result.Attempts, result.Last = len(r.attempts), r.last
+	r.result <- result
+	e.after = append(e.after, func(policy.Time) { e.forget(r) })
+}
+
+// end notes that r has ended: its name may be used again.
+func (e *Engine) end(r *Request) {
+	r.ended = true
+	if r.Name != "" {
+		delete(e.names, r.Name)
+	}
+	e.open--
+	e.checkDrained()
+}
+
+func (e *Engine) checkDrained() {
+	if e.closing && e.open == 0 {
+		select {
+		case <-e.drained:
+		default:
+			close(e.drained)
+		}
+	}
+}
+
+// forget drops a request that has ended once no attempt needs its payload any more.
+func (e *Engine) forget(r *Request) {
+	if !r.ended || r.out > 0 || e.requests[r.id] != r {
+		return
+	}
+	delete(e.requests, r.id)
+	r.Payload = nil
+	if r.Release != nil {
+		r.Release()
+	}
+}
+
+// settled takes the end of an attempt.
+func (e *Engine) settled(now policy.Time, a *Attempt, end Ending) {
+	r := a.req
+	r.out--
+	r.last = end.Status
+	if end.Status == policy.OK && !r.ended {
+		e.end(r)
+		r.result <- Result{Kind: Served, Reply: end.Reply, Server: a.Server, Attempts: len(r.attempts)}
+	}
+	e.module.Outcome(now, policy.Outcome{
+		ID: r.id, Attempt: a.Number, Server: a.Server, Status: end.Status, Delay: now - a.sent,
+		Closed: r.ended, Load: end.Load,
+	}, e)
+	e.forget(r)
+}
+
+// The methods of policy.Actions. The module calls them under mu, so they never block, and report what comes of them
+// through after or from a goroutine of their own.
+
+// Send is a method of policy.Actions.
+func (e *Engine) Send(id policy.RequestID, server policy.ServerID, timeout time.Duration) {
+	r := e.requests[id]
+	if r == nil {
+		return
+	}
+	now := time.Now()
+	a := &Attempt{req: r, Number: len(r.attempts), Server: server, sent: now.Sub(e.origin), Deadline: now.Add(timeout)}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	to, listed := e.endpoints[server]
+	if r.ended || !listed || timeout <= 0 {
+		e.after = append(e.after, func(now policy.Time) { e.settled(now, a, Ending{Status: policy.Moot}) })
+		return
+	}
+	e.work.Go(func() {
+		end := e.to.Do(a, to)
+		e.event(func(now policy.Time) { e.settled(now, a, end) })
+	})
+}
+
+// Refuse is a method of policy.Actions.
+func (e *Engine) Refuse(id policy.RequestID, retryAfter time.Duration) {
+	e.finish(e.requests[id], Result{Kind: Refused, RetryAfter: retryAfter})
+}
+
+// Fail is a method of policy.Actions.
+func (e *Engine) Fail(id policy.RequestID) { e.finish(e.requests[id], Result{Kind: Failed}) }
+
+// Cancel is a method of policy.Actions.
+func (e *Engine) Cancel(id policy.RequestID, attempt int) {
+	if r := e.requests[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
+		r.attempts[attempt].cancel()
+	}
+}
+
+// HangUp is a method of policy.Actions.
+func (e *Engine) HangUp(server policy.ServerID) {
+	if to, ok := e.endpoints[server]; ok {
+		e.to.HangUp(to)
+	}
+}
+
+// Log is a method of policy.Actions.
+func (e *Engine) Log(text string) { e.log.Info("policy: " + text) }
+
+// Probe is a method of policy.Actions.
+func (e *Engine) Probe(server policy.ServerID) {
+	sent := e.Now()
+	to, listed := e.endpoints[server]
+	if !listed || e.probing >= mostProbes || e.closed {
+		e.after = append(e.after, func(now policy.Time) {
+			e.module.Probed(now, policy.ProbeResult{Server: server, Status: policy.Moot}, e)
+		})
+		return
+	}
+	e.probing++
+	e.work.Go(func() {
+		status, load := e.to.Probe(e.ctx, to)
+		e.event(func(now policy.Time) {
+			e.probing--
+			if !e.closed {
+				e.module.Probed(now, policy.ProbeResult{Server: server, Status: status, Delay: now - sent, Load: load}, e)
+			}
+		})
+	})
+}
+
+// Drain takes no more requests from now on, and waits until all that were taken have ended, or ctx has.
+func (e *Engine) Drain(ctx context.Context) error {
+	e.event(func(policy.Time) {
+		e.closing = true
+		e.checkDrained()
+	})
+	select {
+	case <-e.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close ends the engine: requests that are still open end as Dropped, their attempts are called off, and it returns once
+// no goroutine of the engine's is left.
+func (e *Engine) Close() {
+	e.event(func(now policy.Time) {
+		e.closing = true
+		for _, r := range maps.Clone(e.requests) {
+			if !r.ended {
+				r.result <- Result{Kind: Dropped, Attempts: len(r.attempts), Last: r.last}
+				e.withdraw(now, r)
+			}
+			for _, a := range r.attempts {
+				a.cancel()
+			}
+		}
+		e.checkDrained()
+		e.closed = true
+		if e.stopWatch != nil {
+			e.stopWatch()
+			e.stopWatch = nil
+		}
+		e.timers = nil
+		e.alarm.Stop()
+	})
+	e.stop()
+	e.work.Wait()
+}
+
+// String describes the engine's load for logs.
+func (e *Engine) String() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return fmt.Sprintf("%d requests, %d timers, %d upstreams", len(e.requests), len(e.timers), len(e.endpoints))
+}
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,32 @@
+package engine
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"quillfront/policy"
+)
+
+func TestStarted(t *testing.T) {
+	e := New(Options{Log: slog.New(slog.DiscardHandler)})
+	defer e.Close()
+	nowMs := time.Now().UnixMilli()
+	tests := []struct {
+		name     string
+		ms       int64
+		min, max policy.Time
+	}{
+		{"long ago", 0, 0, 0},
+		{"just now", nowMs, e.Now() - time.Minute, e.Now() + time.Minute},
+		{"at the clock's origin", e.originMs, 1, 1},
+		{"before it", e.originMs - 5, -5 * time.Millisecond, -5 * time.Millisecond},
+		{"senseless", 1 << 62, time.Duration(1e12) * time.Millisecond, time.Duration(1e12) * time.Millisecond},
+		{"senseless", -1 << 62, -time.Duration(1e12) * time.Millisecond, -time.Duration(1e12) * time.Millisecond},
+	}
+	for _, tt := range tests {
+		if got := e.started(tt.ms); got < tt.min || got > tt.max || got != e.started(tt.ms) {
+			t.Errorf("%s: started(%d) = %v, want %v to %v", tt.name, tt.ms, got, tt.min, tt.max)
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/list.go
@@ -0,0 +1,125 @@
+package engine
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"quillfront/policy"
+)
+
+// UnknownSeq stands for the version of a list that nobody has told.
+const UnknownSeq = -1
+
+// Source tells the list of servers.
+type Source interface {
+	// Watch calls tell with what has changed since version since, or with the whole list where since is UnknownSeq or
+	// the source has no versions, and then with each change, until ctx ends or the watch fails. tell does not keep the
+	// list that it is given. When to ask again after a failure is for the module to say.
+	Watch(ctx context.Context, since int64, tell func(List)) error
+}
+
+// List is the whole list of servers, or the changes since the one before.
+type List struct {
+	Seq     int64 // its version
+	Whole   bool
+	Servers []Server
+}
+
+// Server is an entry of the list. Whoever makes it has checked it: there is an ID, and an address unless it is gone.
+type Server struct {
+	ID     policy.ServerID
+	Addr   string
+	State  policy.ServerState
+	Zone   string
+	Cell   int
+	Weight float64
+	BornMs int64 // when it last started, Unix time in milliseconds; 0 is long ago
+}
+
+// Watch is a method of policy.Actions. A watch ends in one ListFailed, unless it is called off; when to ask again is for
+// the module to say.
+func (e *Engine) Watch(on bool) {
+	if e.stopWatch != nil {
+		e.stopWatch()
+		e.stopWatch = nil
+	}
+	if !on || e.closed || e.source == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(e.ctx)
+	e.stopWatch = cancel
+	source, since := e.source, e.seq
+	e.work.Go(func() {
+		err := source.Watch(ctx, since, func(l List) {
+			kind := policy.ListDelta
+			if l.Whole {
+				kind = policy.ListFull
+			}
+			e.event(func(now policy.Time) {
+				if ctx.Err() == nil {
+					e.members(now, kind, l)
+				}
+			})
+		})
+		e.event(func(now policy.Time) {
+			if ctx.Err() != nil { // called off
+				return
+			}
+			cancel()
+			e.stopWatch = nil
+			e.log.Warn("watch on discovery ended", "err", err)
+			e.module.Members(now, policy.ListFailed, nil, e)
+		})
+	})
+}
+
+// Move makes s the source of the list. Versions are those of the old one: the whole list must be asked for.
+func (e *Engine) Move(s Source) {
+	e.event(func(now policy.Time) {
+		e.source, e.seq = s, UnknownSeq
+		e.module.Moved(now, e)
+	})
+}
+
+// members hands a message about the server list to the module.
+func (e *Engine) members(now policy.Time, kind policy.ListKind, l List) {
+	e.seq = l.Seq
+	before := maps.Clone(e.endpoints)
+	if kind != policy.ListDelta {
+		clear(e.endpoints)
+	}
+	servers := make([]policy.Server, len(l.Servers))
+	for i, s := range l.Servers {
+		servers[i] = policy.Server{
+			ID: s.ID, State: s.State, Zone: s.Zone, Cell: s.Cell, Weight: s.Weight, Started: e.started(s.BornMs),
+		}
+		if s.State == policy.Gone {
+			delete(e.endpoints, s.ID)
+		} else {
+			e.endpoints[s.ID] = Endpoint{s.Addr, s.ID, s.BornMs}
+		}
+	}
+	// Connections of a server that has gone, moved or started anew are of no use to whoever has its address now.
+	for id, old := range before {
+		if e.endpoints[id] != old {
+			e.to.HangUp(old)
+		}
+	}
+	e.module.Members(now, kind, servers, e)
+}
+
+// started is the module's time of a Unix time in milliseconds. It guards against a server that seems to have restarted
+// because its time was converted anew by a wall clock that has since been set: equal times stay equal, and only 0 is long
+// ago.
+func (e *Engine) started(bornMs int64) policy.Time {
+	if bornMs == 0 {
+		return 0
+	}
+	const most = int64(1e12) // about 30 years either way: more would overflow, and none is real
+	ms := min(max(bornMs-e.originMs, -most), most)
+	if ms == 0 {
+		return 1
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/internal/engine/request.go
@@ -0,0 +1,100 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"quillfront/policy"
+)
+
+// Request is one request of a client. A front fills in the exported fields and hands it to Take; from then on they belong
+// to the engine.
+type Request struct {
+	Class, Tenant, Key string
+	Cost               time.Duration // rough expected work; zero: unknown
+	Retry              bool          // the client says that it has asked before
+	Name               string        // the client's own name of it, which no two open requests share; empty: none
+	Wait               time.Duration // how long the client waits
+	Payload            any           // what the transport sends; the engine never looks at it
+	Release            func()        // called once, when no attempt needs Payload any more; it must not block
+
+	id       policy.RequestID
+	result   chan Result // of one place
+	attempts []*Attempt
+	out      int // attempts without an ending
+	ended    bool
+	last     policy.Status
+}
+
+// Result returns where the request's one result comes, unless it is withdrawn.
+func (r *Request) Result() <-chan Result { return r.result }
+
+// Kind says how a request ended.
+type Kind int
+
+// The kinds.
+const (
+	Served  Kind = iota // a server has answered it
+	Refused             // a retry is harmless
+	Failed              // nothing is promised: it may have run
+	Dropped             // the engine was closed; nothing is promised
+)
+
+// Result is the one result of a request.
+type Result struct {
+	Kind       Kind
+	Reply      any             // Served: the answer, as the transport gave it
+	Server     policy.ServerID // Served: whose it is
+	RetryAfter time.Duration   // Refused: when to come back; zero: not told
+	Attempts   int             // how many attempts were made
+	Last       policy.Status   // not Served: how the attempt that ended last did, if Attempts is above 0
+}
+
+// Attempt is one send of a request.
+type Attempt struct {
+	Number   int // of the request's attempts, from 0
+	Server   policy.ServerID
+	Deadline time.Time // the module waits no longer
+
+	req  *Request
+	sent policy.Time
+
+	mu       sync.Mutex
+	canceled bool
+	stop     func() // ends what the attempt waits for
+}
+
+// Payload is what is to be sent. It stays until the attempt has ended.
+func (a *Attempt) Payload() any { return a.req.Payload }
+
+// Name is the client's own name of the request.
+func (a *Attempt) Name() string { return a.req.Name }
+
+// Retry reports whether the client said that it had asked before.
+func (a *Attempt) Retry() bool { return a.req.Retry }
+
+// cancel calls the attempt off. Its goroutine tells the outcome.
+func (a *Attempt) cancel() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.canceled = true
+	if a.stop != nil {
+		a.stop()
+	}
+}
+
+// OnCancel makes stop what ends the present wait, and reports whether the attempt is still wanted. stop is called at
+// most once for each cancel and must not block.
+func (a *Attempt) OnCancel(stop func()) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stop = stop
+	return !a.canceled
+}
+
+// Canceled reports whether the attempt was called off.
+func (a *Attempt) Canceled() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.canceled
+}
--- /dev/null
+++ b/internal/engine/timer.go
@@ -0,0 +1,60 @@
+package engine
+
+import (
+	"container/heap"
+	"time"
+
+	"quillfront/policy"
+)
+
+// SetTimer is a method of policy.Actions.
+func (e *Engine) SetTimer(after time.Duration, token string) {
+	if e.closed {
+		return
+	}
+	heap.Push(&e.timers, timer{e.Now() + max(0, after), token})
+	e.setAlarm()
+}
+
+// setAlarm makes the alarm ring when the first timer is due.
+func (e *Engine) setAlarm() {
+	if len(e.timers) > 0 && (e.alarmAt == 0 || e.timers[0].at < e.alarmAt) {
+		e.alarmAt = e.timers[0].at
+		e.alarm.Reset(max(0, e.alarmAt-e.Now()))
+	}
+}
+
+// ring hands the timers that are due to the module, all in one go.
+func (e *Engine) ring() {
+	e.event(func(now policy.Time) {
+		e.alarmAt = 0
+		var due []string
+		for len(e.timers) > 0 && e.timers[0].at <= now {
+			due = append(due, heap.Pop(&e.timers).(timer).token)
+		}
+		for _, token := range due {
+			e.module.Timer(now, token, e)
+		}
+		e.setAlarm()
+	})
+}
+
+type timer struct {
+	at    policy.Time
+	token string
+}
+
+// timerHeap implements heap.Interface, the timer that is due first at its top.
+type timerHeap []timer
+
+func (t timerHeap) Len() int           { return len(t) }
+func (t timerHeap) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timerHeap) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timerHeap) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timerHeap) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = timer{} // lets go of the token
+	*t = (*t)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/httpcall/call.go
@@ -0,0 +1,158 @@
+// Package httpcall reads what an HTTP request of the application says of itself: its class, key, time and cost, and
+// whether it may be served at all. Every HTTP front judges requests by it, so that none accepts what another turns away.
+// It does no I/O.
+package httpcall
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"quillfront/internal/engine"
+	"quillfront/internal/httpmsg"
+	"quillfront/policy"
+)
+
+// MostName bounds an id, a key or a tenant, in bytes: they are kept while a request is open.
+const MostName = 256
+
+// Rejection is why a request is turned away before anything is sent for it.
+type Rejection struct {
+	Status int // of HTTP
+	Text   string
+}
+
+// Error returns the text.
+func (e Rejection) Error() string { return e.Text }
+
+func bad(text string) error { return Rejection{http.StatusBadRequest, text} }
+
+// Call is what a request says of itself, by the protocol between an application and its sidecar.
+type Call struct {
+	Method string
+	Target string // as it stands on the wire
+	Host   string
+	Length int64 // of the body; negative: not told
+
+	ID, IdempotencyKey, Tenant, Timeout string
+	Cost                                time.Duration
+	Retried                             bool
+
+	seen [7]bool
+}
+
+// names are the headers that Add knows, in canonical form.
+var names = [7]string{"X-Request-Id", "Idempotency-Key", "X-Tenant-Id", "X-Timeout-Ms", "Host", "X-Cost", "X-Retried"}
+
+// Names returns the headers that a Call is read from, in canonical form.
+func Names() []string { return names[:] }
+
+// Add notes a line of the head. Lines that say nothing to the protocol are skipped.
+func (c *Call) Add(f httpmsg.Field) error {
+	for i, name := range names {
+		if f.Is(name) {
+			return c.set(i, f.Value)
+		}
+	}
+	return nil
+}
+
+// AddValues notes all lines of one name, which must be one of Names.
+func (c *Call) AddValues(name string, values []string) error {
+	for _, v := range values {
+		if err := c.Add(httpmsg.Field{Name: []byte(name), Value: []byte(v)}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Call) set(i int, value []byte) error {
+	if names[i] == "X-Cost" || names[i] == "X-Retried" { // hints: what cannot be read is as good as not said
+		if c.seen[i] {
+			return nil
+		}
+	} else if c.seen[i] || len(value) > MostName {
+		// Of two values each reader might take another one.
+		return bad(names[i] + " is given more than once or too long")
+	}
+	c.seen[i] = true
+	switch i {
+	case 0:
+		c.ID = string(value)
+	case 1:
+		c.IdempotencyKey = string(value)
+	case 2:
+		c.Tenant = string(value)
+	case 3:
+		c.Timeout = string(value)
+	case 4:
+		c.Host = string(value)
+	case 5:
+		if us, err := strconv.ParseInt(string(value), 10, 64); err == nil && us > 0 && us < int64(time.Hour/time.Microsecond) {
+			c.Cost = time.Duration(us) * time.Microsecond
+		}
+	case 6:
+		c.Retried = string(value) == "1"
+	}
+	return nil
+}
+
+// Request returns what c asks for, without payload, or why it is turned away.
+func (c *Call) Request(e *engine.Engine) (*engine.Request, error) {
+	if c.ID == "" {
+		return nil, bad("no X-Request-ID")
+	}
+	path, err := pathOf(c.Target)
+	if err != nil {
+		return nil, err
+	}
+	r := &engine.Request{Tenant: c.Tenant, Cost: c.Cost, Retry: c.Retried, Name: c.ID}
+	r.Class, _, _ = strings.Cut(path, "/")
+	if i := strings.LastIndexByte(path, '/'); i >= 0 {
+		r.Key = path[i+1:]
+	}
+	class, known := e.Class(r.Class)
+	if !known {
+		return nil, Rejection{http.StatusNotFound, "no such class of requests"}
+	}
+	safe := class.Effect == policy.Safe
+	if (c.Method == http.MethodGet) != safe || !safe && c.Method != http.MethodPost {
+		return nil, Rejection{http.StatusMethodNotAllowed, "the method is not that of the class"}
+	}
+	if safe && c.Length != 0 {
+		return nil, bad("a request of this class has no body")
+	}
+	if class.Effect == policy.Keyed && c.IdempotencyKey == "" {
+		// Servers could not tell a repeat, so that it would run twice.
+		return nil, bad("no Idempotency-Key")
+	}
+	r.Wait = class.Deadline
+	if c.Timeout != "" {
+		ms, err := strconv.ParseUint(c.Timeout, 10, 64)
+		if err != nil || ms == 0 {
+			return nil, bad("X-Timeout-Ms is no positive whole number")
+		}
+		// A client that would wait longer than any class allows must not make timers last for ever.
+		r.Wait = time.Duration(min(ms, uint64(e.Longest().Milliseconds()))) * time.Millisecond
+	}
+	return r, nil
+}
+
+// pathOf is the path of a target without its first slash, as clients mean it.
+func pathOf(target string) (string, error) {
+	if !strings.HasPrefix(target, "/") {
+		return "", bad("no Host, or no path")
+	}
+	path, _, _ := strings.Cut(target[1:], "?")
+	if strings.IndexByte(path, '%') >= 0 {
+		plain, err := url.PathUnescape(path)
+		if err != nil {
+			return "", bad("the path cannot be read")
+		}
+		path = plain
+	}
+	return path, nil
+}
--- /dev/null
+++ b/internal/httpfront/server.go
@@ -0,0 +1,563 @@
+// Package httpfront is the side of the clients over HTTP/1.1: it owns their connections, takes requests from them and
+// writes each its one answer. Each request goes through the engine; it decides nothing itself but what is no request.
+package httpfront
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"quillfront/internal/engine"
+	"quillfront/internal/httpcall"
+	"quillfront/internal/httpmsg"
+	"quillfront/internal/sockets"
+	"quillfront/internal/upstream"
+)
+
+const (
+	// bodyShare is the part of the memory limit that bodies may hold, one over bodyShare.
+	bodyShare = 8
+	// mostClientHead bounds a request's head. It is held in a buffer of that size.
+	mostClientHead = 8 << 10
+	// headTime is how long a client may take to write a head, counted from the start of a new connection: bad clients
+	// are owed an end within 3 s of it, and clients may take up to 2 s.
+	headTime = 2500 * time.Millisecond
+	// bodyTime is how long a client may take to write a body. It guards against clients that hold room and a
+	// descriptor for ever. One on a link so slow that 64 KiB take longer would be cut off wrongly.
+	bodyTime = 2 * time.Second
+	// idleTime is how long a client's connection may stand idle; 2 s are owed. Guards against clients that ask once
+	// and keep their connection for good. A client that asks more seldom pays with a new connection each time.
+	idleTime = 2100 * time.Millisecond
+	// crowdShare is the part of the clients' places from which an answer is the last one on its connection.
+	crowdShare = 0.4
+	// quietLeast is how long a connection has been quiet at least when it is closed to make room: a new one's
+	// first bytes may be on their way.
+	quietLeast = 250 * time.Millisecond
+	// slowLeast is the same for one whose request has come in part.
+	slowLeast = time.Second
+	// writeTime is how long a client may take none of its answer.
+	writeTime = 2 * time.Second
+	// lingerTime is how long what a client still sends is read and dropped after its request was turned away, so that
+	// the answer reaches it before a reset does.
+	lingerTime = 300 * time.Millisecond
+	// acceptRetry is the pause after a failed accept.
+	acceptRetry = 5 * time.Millisecond
+	// mostScratch bounds the room for an answer that a connection keeps for the next one.
+	mostScratch = 4 << 10
+)
+
+// NewRoom returns the room for the bodies of requests, in bytes. A body's whole length is reserved before it is read:
+// however many clients write at once, their bodies hold a fixed part of the memory, and others wait in the kernel.
+func NewRoom(memoryMB int) *semaphore.Weighted {
+	return semaphore.NewWeighted(max(int64(memoryMB)<<20/bodyShare, httpmsg.MaxBody))
+}
+
+// Server serves the clients. It reads requests itself rather than by net/http's server, which hides what must be known
+// here: heads as they came, bytes behind a request, and how far a connection has got when it has to make room.
+type Server struct {
+	engine  *engine.Engine
+	room    *semaphore.Weighted
+	sockets *sockets.Budget
+	log     *slog.Logger
+
+	mu       sync.Mutex
+	conns    map[*clientConn]struct{} // bounded by sockets
+	draining bool
+	open     sync.WaitGroup // their goroutines
+}
+
+// New returns a server that takes its descriptors from b, and holds bodies in room.
+func New(e *engine.Engine, room *semaphore.Weighted, b *sockets.Budget, log *slog.Logger) *Server {
+	return &Server{engine: e, room: room, sockets: b, log: log, conns: map[*clientConn]struct{}{}}
+}
+
+// phase is how far a client's connection has got.
+type phase int
+
+const (
+	fresh     phase = iota // nothing has come yet
+	idle                   // between two requests
+	reading                // a request has come in part
+	serving                // a request is open
+	lingering              // turned away
+)
+
+// clientConn is a client's connection. Its phase is under the server's lock.
+type clientConn struct {
+	net.Conn
+	release func()
+	peek    *sockets.Peeker // under the server's lock
+	r       *bufio.Reader
+	head    httpmsg.Head // of the present request
+	scratch []byte       // for answers
+	more    chan error   // how the wait for what comes next has ended
+	phase   phase
+	since   time.Time   // of that phase
+	heard   atomic.Bool // something has been read since it fell quiet
+}
+
+// Read is the method of net.Conn.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(true)
+	}
+	return n, err
+}
+
+// Serve accepts connections until ln ends. It takes a descriptor for each before: while there is none free,
+// connections wait in the kernel's backlog.
+func (s *Server) Serve(ln net.Listener) error {
+	defer ln.Close()
+	for {
+		release, err := s.sockets.AcquireClient(context.Background())
+		if err != nil {
+			return err
+		}
+		nc, err := ln.Accept()
+		if err != nil {
+			release()
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			// The machine is short of something, or the peer has left before it was accepted: neither lasts.
+			s.log.Warn("accept", "err", err)
+			time.Sleep(acceptRetry)
+			continue
+		}
+		c := &clientConn{
+			Conn: nc, release: release, peek: sockets.NewPeeker(nc), since: time.Now(), more: make(chan error, 1),
+		}
+		c.r = bufio.NewReaderSize(c, mostClientHead)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		s.open.Go(func() { s.serve(c) })
+	}
+}
+
+// enter notes that c has come to a phase, and reports whether it may: one that was closed to make room may not.
+func (s *Server) enter(c *clientConn, p phase) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.conns[c]; !ok || s.draining && p == idle {
+		return false
+	}
+	c.phase, c.since = p, time.Now()
+	if p == idle {
+		c.heard.Store(false)
+	}
+	return true
+}
+
+// crowded reports whether clients hold so many connections that none is worth keeping. It guards against clients that ask
+// once and keep their connection, a new one for each request: however fast they are, they cannot use up the connections
+// that the application may have before idleTime ends the first of them, nor the sidecar's own. It says so with the
+// answer rather than closing later, so that no request crosses the close. A crowd that does use its connections again
+// pays with a new one for each request. Called with the lock held.
+func (s *Server) crowded() bool {
+	_, places := s.sockets.Limits()
+	return float64(len(s.conns)) > crowdShare*float64(places)
+}
+
+// drop closes c and gives its descriptor back. Called with the lock held.
+func (s *Server) drop(c *clientConn) {
+	if _, ok := s.conns[c]; ok {
+		delete(s.conns, c)
+		c.Conn.Close()
+		c.release()
+	}
+}
+
+// Evict closes the connection that is missed least: one that was turned away, else the one that has been quiet longest,
+// else one that has been slow to write its request. It guards against connections that are opened only to be held: they
+// would keep all others waiting. A client whose first request crosses the close must try again.
+func (s *Server) Evict() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	rank := func(c *clientConn) int {
+		age := now.Sub(c.since)
+		switch {
+		case c.phase == lingering:
+			return 3
+		case (c.phase == idle || c.phase == fresh) && age >= quietLeast && !c.heard.Load():
+			return 2
+		case c.phase == reading && age >= slowLeast:
+			return 1
+		}
+		return 0
+	}
+	var victim *clientConn
+	best := 0
+	for c := range s.conns {
+		r := rank(c)
+		if r > best || r == best && r > 0 && c.since.Before(victim.since) {
+			if r != 2 || c.peek.NothingCame() {
+				victim, best = c, r
+			}
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	s.drop(victim)
+	return true
+}
+
+// Drain makes every answer the last one of its connection, and closes those on which none is owed: a request that
+// crosses this comes again on a new connection, which is still accepted.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	for c := range s.conns {
+		if c.phase == idle && !c.heard.Load() && c.peek.NothingCame() {
+			s.drop(c)
+		}
+	}
+}
+
+// Wait waits until all connections have ended, or ctx has, and reports whether they have.
+func (s *Server) Wait(ctx context.Context) bool {
+	done := make(chan struct{})
+	go func() {
+		s.open.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// CloseAll closes all connections.
+func (s *Server) CloseAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		s.drop(c)
+	}
+}
+
+// serve serves one connection: a request after the other.
+func (s *Server) serve(c *clientConn) {
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.drop(c)
+	}()
+	for until := c.since.Add(headTime); ; until = time.Now().Add(idleTime) {
+		first := c.phase == fresh
+		c.SetReadDeadline(until)
+		if _, err := c.r.Peek(1); err != nil || !s.enter(c, reading) {
+			return
+		}
+		if !first {
+			c.SetReadDeadline(time.Now().Add(headTime))
+		}
+		r, keep, err := s.read(c)
+		if err != nil {
+			s.reject(c, err)
+			return
+		}
+		if r == nil { // asked whether the sidecar is ready
+			if !s.write(c, keep, engine.Result{Reply: ready}) || !s.enter(c, idle) {
+				return
+			}
+			continue
+		}
+		if !s.answer(c, keep, r) || !s.enter(c, idle) {
+			return
+		}
+	}
+}
+
+// ready is the answer to a probe of readiness.
+var ready = &upstream.Answer{}
+
+// persistence is what a request says of its connection.
+type persistence int
+
+const (
+	last   persistence = iota // it ends with the answer
+	stays                     // it stays open, as it does by default
+	spoken                    // it stays open, which the answer must say
+)
+
+// read reads one request and hands it to the engine, if it may be served. It returns no request for a probe of
+// readiness.
+func (s *Server) read(c *clientConn) (*engine.Request, persistence, error) {
+	if err := c.head.Read(c.r); err != nil {
+		return nil, last, err
+	}
+	method, target, minor, err := c.head.Request()
+	if err != nil {
+		return nil, last, err
+	}
+	keep := stays
+	switch {
+	case c.head.Close || minor == 0 && !c.head.Keep:
+		keep = last
+	case minor == 0:
+		keep = spoken
+	}
+	if minor == 0 && c.head.Chunked { // such a sender knows of no chunks
+		return nil, last, httpmsg.ErrFraming
+	}
+	call := httpcall.Call{Method: methodName(method), Target: string(target), Length: max(c.head.Length, 0)}
+	if c.head.Chunked {
+		call.Length = -1
+	}
+	if call.Method == http.MethodGet && call.Target == "/healthz" && call.Length == 0 {
+		c.head.Discard(c.r)
+		if !s.enter(c, serving) {
+			return nil, last, errGone
+		}
+		return nil, keep, nil
+	}
+	lines := 0
+	for _, f := range c.head.Fields {
+		if err := call.Add(f); err != nil {
+			return nil, last, err
+		}
+		lines += len(f.Name) + len(f.Value) + len(": \r\n")
+	}
+	if call.Host == "" && minor > 0 {
+		return nil, last, httpcall.Rejection{Status: http.StatusBadRequest, Text: "no Host, or no path"}
+	}
+	r, err := call.Request(s.engine)
+	if err != nil {
+		return nil, last, err
+	}
+	m := &upstream.Message{Method: call.Method, Target: call.Target, Host: call.Host, Lines: make([]byte, 0, lines)}
+	expects := false
+	for _, f := range c.head.Fields {
+		switch {
+		case f.Is("Expect"):
+			expects = bytes.EqualFold(f.Value, []byte("100-continue"))
+		case f.Is("Host") || f.Is("X-Timeout-Ms") || c.head.Hop(f): // the transport writes its own
+		default:
+			m.Lines = f.Append(m.Lines)
+		}
+	}
+	r.Payload = m
+	c.head.Discard(c.r)
+	if err := s.readBody(c, r, m, call.Length, expects); err != nil {
+		return nil, last, err
+	}
+	if c.r.Buffered() > 0 {
+		err = errCrowd
+	} else if !s.enter(c, serving) {
+		err = errGone
+	} else if err = s.engine.Take(r, s.engine.Now()); errors.Is(err, engine.ErrNameOpen) {
+		err = httpcall.Rejection{Status: http.StatusConflict, Text: "a request with this X-Request-ID is open"}
+	} else if errors.Is(err, engine.ErrClosed) {
+		err = httpcall.Rejection{Status: http.StatusServiceUnavailable, Text: err.Error()}
+	}
+	if err != nil {
+		if r.Release != nil {
+			r.Release()
+		}
+		return nil, last, err
+	}
+	return r, keep, nil
+}
+
+// methodName is the method's name, without allocating for those that the protocol has.
+func methodName(b []byte) string {
+	switch string(b) {
+	case http.MethodGet:
+		return http.MethodGet
+	case http.MethodPost:
+		return http.MethodPost
+	}
+	return string(b)
+}
+
+var (
+	errGone = errors.New("the connection has been closed to make room")
+	// errCrowd guards against clients that write many requests at once: the protocol has one at a time, and what
+	// came behind would be held unread or served out of turn.
+	errCrowd = httpcall.Rejection{Status: http.StatusBadRequest, Text: "more came before the answer: one request at a time"}
+)
+
+// answer waits for the final answer to r and writes it. It reports whether the connection can go on.
+func (s *Server) answer(c *clientConn, keep persistence, r *engine.Request) bool {
+	c.SetReadDeadline(time.Time{})
+	go c.await() // ends when something comes, the client leaves, or by the deadline set below
+	select {
+	case result := <-r.Result():
+		c.SetReadDeadline(time.Unix(1, 0))
+		err := <-c.more
+		return s.write(c, keep, result) && isTimeout(err)
+	case err := <-c.more:
+		if !s.engine.Withdraw(r) {
+			s.write(c, last, <-r.Result())
+		} else if err == nil {
+			s.reject(c, errCrowd)
+		}
+		return false
+	}
+}
+
+// await waits until something comes, or can no longer.
+func (c *clientConn) await() {
+	_, err := c.r.Peek(1)
+	c.more <- err
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// reject answers a request that cannot be served, and ends its connection: what is left of the request is not read for
+// what it says.
+func (s *Server) reject(c *clientConn, err error) {
+	ans := httpcall.Rejection{Status: http.StatusBadRequest, Text: "malformed request"}
+	var re httpcall.Rejection
+	switch {
+	case errors.As(err, &re):
+		ans = re
+	case errors.Is(err, errGone) || errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed):
+		return
+	case isTimeout(err):
+		ans = httpcall.Rejection{Status: http.StatusRequestTimeout, Text: "the request did not come whole in time"}
+	case errors.Is(err, httpmsg.ErrHeadTooLong):
+		ans = httpcall.Rejection{Status: http.StatusRequestHeaderFieldsTooLarge, Text: err.Error()}
+	case errors.Is(err, httpmsg.ErrHead) || errors.Is(err, httpmsg.ErrFraming):
+		ans.Text = err.Error()
+	}
+	if !s.enter(c, lingering) {
+		return
+	}
+	c.SetDeadline(time.Now().Add(lingerTime))
+	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s\n",
+		ans.Status, http.StatusText(ans.Status), len(ans.Text)+1, ans.Text)
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		io.CopyN(io.Discard, c.r, httpmsg.MaxBody)
+	}
+}
+
+// readBody reads the body once there is room for it.
+func (s *Server) readBody(c *clientConn, r *engine.Request, m *upstream.Message, length int64, expects bool) error {
+	n := length
+	if n < 0 {
+		n = httpmsg.MaxBody // its length shows at its end
+	}
+	tooLong := httpcall.Rejection{Status: http.StatusRequestEntityTooLarge, Text: httpmsg.ErrBodyTooLong.Error()}
+	if n > httpmsg.MaxBody {
+		return tooLong
+	}
+	if n == 0 {
+		return nil
+	}
+	until := time.Now().Add(bodyTime)
+	if !s.room.TryAcquire(n) {
+		ctx, cancel := context.WithDeadline(context.Background(), until)
+		defer cancel()
+		if s.room.Acquire(ctx, n) != nil {
+			return httpcall.Rejection{Status: http.StatusServiceUnavailable, Text: "no room for the body"}
+		}
+	}
+	r.Release = func() { s.room.Release(n) }
+	c.SetReadDeadline(until)
+	if expects && c.r.Buffered() == 0 {
+		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
+	var err error
+	if length >= 0 {
+		m.Body, err = httpmsg.ReadBody(c.r, length)
+	} else {
+		m.Body, err = httpmsg.ReadChunked(c.r)
+	}
+	if err != nil {
+		r.Release()
+		switch {
+		case errors.Is(err, httpmsg.ErrBodyTooLong):
+			return tooLong
+		case isTimeout(err):
+			return err
+		}
+		return httpcall.Rejection{Status: http.StatusBadRequest, Text: "the body did not come whole"}
+	}
+	return nil
+}
+
+// write writes the final answer, and reports whether the connection can go on.
+func (s *Server) write(c *clientConn, keep persistence, result engine.Result) bool {
+	s.mu.Lock()
+	if s.draining || s.crowded() {
+		keep = last
+	}
+	s.mu.Unlock()
+	status, body, lines := http.StatusBadGateway, []byte(nil), []byte(nil)
+	switch result.Kind {
+	case engine.Served:
+		if a, ok := result.Reply.(*upstream.Answer); ok {
+			status, body, lines = http.StatusOK, a.Body, a.Lines
+		}
+	case engine.Refused:
+		status = http.StatusServiceUnavailable
+	}
+	b := append(c.scratch[:0], "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, http.StatusText(status)...)
+	b = append(b, "\r\n"...)
+	b = httpmsg.AppendInt(b, "Content-Length", int64(len(body)))
+	switch keep {
+	case last:
+		b = append(b, "Connection: close\r\n"...)
+	case spoken:
+		b = append(b, "Connection: keep-alive\r\n"...)
+	}
+	if result.RetryAfter > 0 {
+		b = append(b, "Retry-After: "...)
+		b = strconv.AppendFloat(b, result.RetryAfter.Seconds(), 'f', -1, 64)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, lines...)
+	b = append(b, "\r\n"...)
+	b = append(b, body...)
+	if c.scratch = nil; cap(b) <= mostScratch {
+		c.scratch = b
+	}
+	c.SetWriteDeadline(time.Now().Add(writeTime))
+	_, err := c.Write(b)
+	return err == nil && keep != last
+}
+
+// Stats counts a server's connections.
+type Stats struct {
+	Open  int // in all
+	Quiet int // of them, those on which no request is open nor has come in part
+}
+
+// Stats returns the present counts.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := Stats{Open: len(s.conns)}
+	for c := range s.conns {
+		if c.phase == fresh || c.phase == idle {
+			st.Quiet++
+		}
+	}
+	return st
+}
--- /dev/null
+++ b/internal/httpmsg/head.go
@@ -0,0 +1,328 @@
+// Package httpmsg reads the heads and bodies of HTTP/1.1 messages (RFC 9112) as strictly as two parties must who do not
+// trust each other to see the same end of a message, and tells what of a head concerns one connection only. It serves
+// both the side of the clients and that of the servers; it opens no connection and keeps nothing.
+package httpmsg
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http/httputil"
+	"strconv"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// MaxBody is the longest body that a message may have, in bytes, by the protocol.
+const MaxBody = 64 << 10
+
+// mostTrailer bounds the trailer section after a chunked body, in bytes; what stands in it is dropped.
+const mostTrailer = 4 << 10
+
+// What can be wrong with a message.
+var (
+	ErrHeadTooLong = errors.New("the head is too long")
+	ErrHead        = errors.New("the head cannot be read")
+	ErrFraming     = errors.New("the head gives the length of its body in more than one way")
+	ErrBodyTooLong = errors.New("the body is over 64 KiB")
+)
+
+// Field is one line of a head. Both parts lie in the reader's buffer.
+type Field struct{ Name, Value []byte }
+
+// Is reports whether the field has that name, in whatever case.
+func (f Field) Is(name string) bool { return equalFold(f.Name, name) }
+
+// equalFold compares without regard to the case of ASCII letters, and without allocating.
+func equalFold(b []byte, s string) bool {
+	if len(b) != len(s) {
+		return false
+	}
+	for i, c := range b {
+		d := s[i]
+		if 'A' <= c && c <= 'Z' {
+			c |= 0x20
+		}
+		if 'A' <= d && d <= 'Z' {
+			d |= 0x20
+		}
+		if c != d {
+			return false
+		}
+	}
+	return true
+}
+
+// Head is the head of one message. It lies in the buffer of the reader that it was read from: it holds until Discard, and
+// a Head may be used again for the next message.
+type Head struct {
+	First   []byte // the request line or status line
+	Fields  []Field
+	Length  int64 // of the body by Content-Length; -1 without one
+	Chunked bool  // the body is in chunks
+	Close   bool  // the sender ends the connection after this message
+	Keep    bool  // the sender asks to keep it, which only HTTP/1.0 must
+
+	listed [][]byte // further names that Connection lists
+	size   int
+}
+
+// Read waits until the whole head of a message lies in r's buffer, and checks it. It reads no byte beyond what it must
+// wait for, and leaves the head in the buffer: see Discard.
+//
+// It guards against messages whose end two readers see in different places, so that one of them takes a part of the body
+// for a message of its own: it rejects two lengths of whatever kind, folded lines, control characters, white space in
+// names, and lengths and codings that are not spelt out plainly. By the size of the buffer it guards against heads
+// without end. What it rejects is never valid between parties of this protocol; a sender that folds its lines would be
+// turned away though it means no harm.
+func (h *Head) Read(r *bufio.Reader) error {
+	for seen := 0; ; {
+		if _, err := r.Peek(max(seen+1, r.Buffered())); err != nil {
+			if errors.Is(err, bufio.ErrBufferFull) {
+				return ErrHeadTooLong
+			}
+			return err
+		}
+		b, _ := r.Peek(r.Buffered())
+		for i := max(0, seen-3); i < len(b); i++ { // the end may straddle what had come before
+			n := bytes.IndexByte(b[i:], '\n')
+			if n < 0 {
+				break
+			}
+			i += n
+			if rest := b[i+1:]; bytes.HasPrefix(rest, []byte("\n")) {
+				return h.parse(b[:i+2])
+			} else if bytes.HasPrefix(rest, []byte("\r\n")) {
+				return h.parse(b[:i+3])
+			}
+		}
+		if seen = len(b); seen == r.Size() {
+			return ErrHeadTooLong
+		}
+	}
+}
+
+// Discard takes the head out of r's buffer. Nothing of h may be used afterwards but Length, Chunked, Close and Keep.
+func (h *Head) Discard(r *bufio.Reader) {
+	r.Discard(h.size)
+	h.First, h.Fields, h.listed = nil, h.Fields[:0], h.listed[:0]
+}
+
+func (h *Head) parse(head []byte) error {
+	*h = Head{Fields: h.Fields[:0], listed: h.listed[:0], Length: -1, size: len(head)}
+	lengths := 0
+	for len(head) > 0 {
+		var line []byte
+		line, head, _ = bytes.Cut(head, []byte("\n"))
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		for _, c := range line {
+			if c < ' ' && c != '\t' || c == 0x7f {
+				return ErrHead
+			}
+		}
+		if h.First == nil {
+			if len(line) == 0 {
+				return ErrHead
+			}
+			h.First = line
+			continue
+		}
+		if len(line) == 0 {
+			break // the end
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !token(name) {
+			return ErrHead
+		}
+		f := Field{name, bytes.Trim(value, " \t")}
+		switch {
+		case f.Is("Content-Length"):
+			lengths++
+			n, ok := decimal(f.Value)
+			if !ok {
+				return ErrHead
+			}
+			h.Length = n
+		case f.Is("Transfer-Encoding"):
+			lengths++
+			if !equalFold(f.Value, "chunked") {
+				return ErrHead
+			}
+			h.Chunked = true
+		case f.Is("Connection"):
+			for rest := f.Value; len(rest) > 0; {
+				var option []byte
+				option, rest, _ = bytes.Cut(rest, []byte(","))
+				switch option = bytes.Trim(option, " \t"); {
+				case equalFold(option, "close"):
+					h.Close = true
+				case equalFold(option, "keep-alive"):
+					h.Keep = true
+				case len(option) > 0:
+					h.listed = append(h.listed, option)
+				}
+			}
+		}
+		h.Fields = append(h.Fields, f)
+	}
+	if lengths > 1 {
+		return ErrFraming
+	}
+	return nil
+}
+
+// token reports whether b is a token (RFC 9110, section 5.6.2).
+func token(b []byte) bool {
+	for _, c := range b {
+		if !httpguts.IsTokenRune(rune(c)) {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// decimal reads a length. More digits than any length has are as wrong as a sign is.
+func decimal(b []byte) (int64, bool) {
+	if len(b) == 0 || len(b) > 18 {
+		return 0, false
+	}
+	var n int64
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		n = n*10 + int64(c-'0')
+	}
+	return n, true
+}
+
+// Request reads the request line: the method, the target as it stands, and the minor version of HTTP/1.
+func (h *Head) Request() (method, target []byte, minor int, err error) {
+	method, rest, ok := bytes.Cut(h.First, []byte(" "))
+	target, version, ok2 := bytes.Cut(rest, []byte(" "))
+	if !ok || !ok2 || !token(method) || len(target) == 0 || bytes.IndexByte(target, '\t') >= 0 {
+		return nil, nil, 0, ErrHead
+	}
+	if minor, ok = version1(version); !ok {
+		return nil, nil, 0, ErrHead
+	}
+	return method, target, minor, nil
+}
+
+// Status reads the status line: the code, and the minor version of HTTP/1.
+func (h *Head) Status() (code, minor int, err error) {
+	version, rest, ok := bytes.Cut(h.First, []byte(" "))
+	minor, ok1 := version1(version)
+	text, _, _ := bytes.Cut(rest, []byte(" "))
+	n, ok2 := decimal(text)
+	if !ok || !ok1 || !ok2 || len(text) != 3 || n < 100 {
+		return 0, 0, ErrHead
+	}
+	return int(n), minor, nil
+}
+
+func version1(b []byte) (minor int, ok bool) {
+	if len(b) != len("HTTP/1.x") || string(b[:7]) != "HTTP/1." || b[7] != '0' && b[7] != '1' {
+		return 0, false
+	}
+	return int(b[7] - '0'), true
+}
+
+// Hop reports whether f concerns one connection only (RFC 9110, section 7.6.1), or frames the body.
+func (h *Head) Hop(f Field) bool {
+	for _, listed := range h.listed {
+		if bytes.EqualFold(listed, f.Name) {
+			return true
+		}
+	}
+	return HopName(f.Name)
+}
+
+// hopNames concern one connection only.
+var hopNames = []string{
+	"Connection", "Content-Length", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// HopName reports whether fields of that name concern one connection only, or frame the body.
+func HopName(name []byte) bool {
+	for _, hop := range hopNames {
+		if equalFold(name, hop) {
+			return true
+		}
+	}
+	return false
+}
+
+// Append appends the field as a line.
+func (f Field) Append(b []byte) []byte {
+	b = append(b, f.Name...)
+	b = append(b, ": "...)
+	b = append(b, f.Value...)
+	return append(b, "\r\n"...)
+}
+
+// AppendInt appends a line with a number.
+func AppendInt(b []byte, name string, n int64) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = strconv.AppendInt(b, n, 10)
+	return append(b, "\r\n"...)
+}
+
+// ReadChunked reads a body in chunks with its trailers, which are dropped. One that is over MaxBody is read no further
+// than that and gives ErrBodyTooLong.
+func ReadChunked(r *bufio.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), MaxBody+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > MaxBody {
+		return nil, ErrBodyTooLong
+	}
+	for left := mostTrailer; ; {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return nil, unexpected(err)
+		}
+		if left -= len(line); left < 0 {
+			return nil, ErrHeadTooLong
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return body, nil
+		}
+	}
+}
+
+// unexpected makes the end of the input an error within a message.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// ReadBody reads a body of n bytes, at most MaxBody.
+func ReadBody(r *bufio.Reader, n int64) ([]byte, error) {
+	if n > MaxBody {
+		return nil, ErrBodyTooLong
+	}
+	if n == 0 {
+		return nil, nil
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, unexpected(err)
+	}
+	return body, nil
+}
+
+// ReadToEnd reads a body that only the end of the connection ends.
+func ReadToEnd(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
+	if err == nil && len(body) > MaxBody {
+		err = ErrBodyTooLong
+	}
+	return body, err
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"time"
 
-	"heathstack/policy"
+	"quillfront/policy"
 )
 
 // Settings is what a host needs of the settings object.
--- /dev/null
+++ b/internal/sockets/budget.go
@@ -0,0 +1,116 @@
+// Package sockets owns the descriptors of a process that may hold but few: who may take one, who has to wait, and which
+// idle connections make room.
+package sockets
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// Spare descriptors are not counted: the listener, discovery, the log, the runtime's poller.
+	Spare = 16
+	// clientShare is the part of the descriptors that clients may hold. The rest is always left for servers, so that
+	// requests which were taken can be answered.
+	clientShare = 0.6
+	// scarceShare is the part in use from which idle connections are not kept.
+	scarceShare = 0.9
+	// retry is how often one that waits for a descriptor looks for idle connections to close.
+	retry = 10 * time.Millisecond
+)
+
+// ErrNone tells that no descriptor is free, which says nothing of the peer that one was wanted for.
+var ErrNone = errors.New("no free descriptor")
+
+// Budget counts the descriptors of connections. Near the limit idle connections make room: those to servers first, then
+// those of clients. Beyond it work waits.
+type Budget struct {
+	all     chan struct{}
+	clients chan struct{}
+	waiting atomic.Int32
+	servers func() bool // closes an idle connection to a server and reports whether there was one
+	guests  func() bool // the same of a client
+}
+
+// New returns the budget of a process that may hold limit descriptors, which must be over Spare.
+func New(limit int) *Budget {
+	n := limit - Spare
+	never := func() bool { return false }
+	return &Budget{
+		all: make(chan struct{}, n), clients: make(chan struct{}, max(1, int(float64(n)*clientShare))),
+		servers: never, guests: never,
+	}
+}
+
+// OnShortage tells how to make room: each function closes one idle connection, and reports whether there was one. It is
+// called before the budget is used; a nil function makes no room.
+func (s *Budget) OnShortage(servers, clients func() bool) {
+	if servers != nil {
+		s.servers = servers
+	}
+	if clients != nil {
+		s.guests = clients
+	}
+}
+
+// Acquire takes a descriptor, and returns the function that gives it back.
+func (s *Budget) Acquire(ctx context.Context) (release func(), err error) {
+	if err := s.take(ctx, s.all, s.servers, s.guests); err != nil {
+		return nil, err
+	}
+	return sync.OnceFunc(func() { <-s.all }), nil
+}
+
+// AcquireClient takes a descriptor for a client's connection.
+func (s *Budget) AcquireClient(ctx context.Context) (release func(), err error) {
+	if err := s.take(ctx, s.clients, s.guests); err != nil {
+		return nil, err
+	}
+	if err := s.take(ctx, s.all, s.servers, s.guests); err != nil {
+		<-s.clients
+		return nil, err
+	}
+	return sync.OnceFunc(func() { <-s.all; <-s.clients }), nil
+}
+
+func (s *Budget) take(ctx context.Context, from chan struct{}, evict ...func() bool) error {
+	select {
+	case from <- struct{}{}:
+		return nil
+	default:
+	}
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	for {
+		for _, e := range evict {
+			if e() {
+				break
+			}
+		}
+		again := time.NewTimer(retry)
+		select {
+		case from <- struct{}{}:
+			again.Stop()
+			return nil
+		case <-ctx.Done():
+			again.Stop()
+			return fmt.Errorf("%w: %w", ErrNone, ctx.Err())
+		case <-again.C:
+		}
+	}
+}
+
+// Scarce reports whether descriptors are so few that idle connections should not be kept.
+func (s *Budget) Scarce() bool {
+	return s.waiting.Load() > 0 && len(s.all) > int(scarceShare*float64(cap(s.all))) || len(s.all) == cap(s.all)
+}
+
+// InUse returns how many descriptors are taken, in all and by clients.
+func (s *Budget) InUse() (all, clients int) { return len(s.all), len(s.clients) }
+
+// Limits returns how many may be taken, in all and by clients.
+func (s *Budget) Limits() (all, clients int) { return cap(s.all), cap(s.clients) }
--- /dev/null
+++ b/internal/sockets/peek.go
@@ -0,0 +1,39 @@
+package sockets
+
+import (
+	"net"
+	"syscall"
+)
+
+// Peeker looks at what the kernel holds of a connection without taking it. It is for one goroutine at a time, which may
+// look while another one reads.
+type Peeker struct {
+	raw     syscall.RawConn
+	look    func(fd uintptr)
+	nothing bool
+	b       [1]byte
+}
+
+// NewPeeker returns a Peeker of c. One of a connection that is no socket never sees that nothing has come.
+func NewPeeker(c net.Conn) *Peeker {
+	p := &Peeker{}
+	if sc, ok := c.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			p.raw = raw
+		}
+	}
+	p.look = func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), p.b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		p.nothing = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+	}
+	return p
+}
+
+// NothingCame reports whether the kernel has nothing that is still to be read, neither bytes nor the end.
+func (p *Peeker) NothingCame() bool {
+	if p.raw == nil {
+		return false
+	}
+	p.nothing = false
+	return p.raw.Control(p.look) == nil && p.nothing
+}
--- /dev/null
+++ b/internal/upstream/transport.go
@@ -0,0 +1,255 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"quillfront/internal/engine"
+	"quillfront/internal/settings"
+	"quillfront/internal/sockets"
+	"quillfront/policy"
+)
+
+const (
+	// probeTimeout is how long a probe may take: an upstream may vanish without a word.
+	probeTimeout = 400 * time.Millisecond
+	// mostReport bounds the body of a probe's answer.
+	mostReport = 4 << 10
+	// mostLoad is the highest figure of a report that is taken for real.
+	mostLoad = 1e9
+)
+
+// Answer is a server's whole 200 answer: the reply of an attempt on this transport. Nobody changes it.
+type Answer struct {
+	Lines []byte // of its head, each ended by CRLF, but those that concern one connection only
+	Body  []byte // at most httpmsg.MaxBody
+}
+
+// Transport implements engine.Transport over HTTP/1.1. Its requests' payloads are *Message, its replies *Answer.
+type Transport struct {
+	pool   pool
+	fields []string // names of the figures in a load report
+	inline bool     // answers carry reports
+	log    *slog.Logger
+	stop   context.CancelFunc
+	swept  sync.WaitGroup
+}
+
+// New returns a transport that takes its descriptors from b, and runs until Close.
+func New(s settings.Settings, b *sockets.Budget, log *slog.Logger) *Transport {
+	ctx, stop := context.WithCancel(context.Background())
+	t := &Transport{
+		pool: pool{
+			sockets: b, dialTimeout: s.Config.DialTimeout, idleFor: time.Duration(float64(s.Config.ConnIdle) * idleShare),
+			idle: map[engine.Endpoint][]*conn{},
+		},
+		fields: s.Fields, inline: s.Config.InlineReports, log: log, stop: stop,
+	}
+	t.swept.Go(func() { t.pool.sweep(ctx) })
+	return t
+}
+
+// Close closes the idle connections, and keeps none from now on. Attempts that are out go on to their ends.
+func (t *Transport) Close() {
+	t.stop()
+	t.swept.Wait()
+	t.pool.close()
+}
+
+// MakeRoom closes one idle connection, and reports whether there was one.
+func (t *Transport) MakeRoom() bool { return t.pool.closeIdle(0, 1) > 0 }
+
+// Stats counts a transport's idle connections.
+type Stats struct {
+	Idle  int // in all
+	Stale int // of them, those on which the server has closed or said something unasked
+}
+
+// Stats returns the present counts.
+func (t *Transport) Stats() Stats {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	var s Stats
+	for _, list := range t.pool.idle {
+		s.Idle += len(list)
+		for _, c := range list {
+			if !c.quiet() {
+				s.Stale++
+			}
+		}
+	}
+	return s
+}
+
+// HangUp is a method of engine.Transport.
+func (t *Transport) HangUp(to engine.Endpoint) { t.pool.hangUp(to) }
+
+// Do is a method of engine.Transport. What an attempt's end proves follows the protocol's table of outcomes.
+func (t *Transport) Do(a *engine.Attempt, to engine.Endpoint) engine.Ending {
+	c := t.pool.reuse(to, a.Deadline)
+	if c == nil {
+		var err error
+		if c, err = t.dial(a, to); err != nil {
+			return t.broken(a, errNotWritten{err})
+		}
+	}
+	if !a.OnCancel(c.hangUp) {
+		c.Close()
+		return engine.Ending{Status: policy.Canceled}
+	}
+	m, _ := a.Payload().(*Message)
+	code, minor, err := c.exchange(m, max(time.Until(a.Deadline), 1))
+	if err != nil {
+		c.Close()
+		return t.broken(a, err)
+	}
+	end := engine.Ending{Status: policy.OK}
+	var answer *Answer
+	if code == http.StatusOK {
+		answer = &Answer{}
+	} else if end.Status = policy.AppError; code/100 == 4 {
+		end.Status = policy.Rejected
+	}
+	for _, f := range c.head.Fields {
+		switch {
+		case t.inline && f.Is("X-Server-Load"):
+			end.Load = parseLoad(string(f.Value), t.fields)
+		case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
+			f.Is("X-Not-Processed") && string(f.Value) == "1":
+			end.Status = policy.Full
+		}
+		if answer != nil && !c.head.Hop(f) {
+			if answer.Lines == nil {
+				answer.Lines = make([]byte, 0, 256)
+			}
+			answer.Lines = f.Append(answer.Lines)
+		}
+	}
+	c.head.Discard(c.r)
+	body, last, err := c.body(code, minor)
+	wanted := a.OnCancel(nil) // from here on c is no longer the attempt's
+	if last || err != nil || !wanted {
+		c.Close()
+	} else {
+		t.pool.keep(c)
+	}
+	if answer != nil {
+		if err != nil {
+			return t.broken(a, err)
+		}
+		answer.Body = body
+		end.Reply = answer
+	}
+	return end
+}
+
+// dial opens a connection for a.
+func (t *Transport) dial(a *engine.Attempt, to engine.Endpoint) (*conn, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if !a.OnCancel(cancel) {
+		return nil, context.Canceled
+	}
+	return t.pool.dial(ctx, to, a.Deadline)
+}
+
+// broken is the ending of an attempt that got no whole answer.
+func (t *Transport) broken(a *engine.Attempt, err error) engine.Ending {
+	status := policy.Reset
+	var notWritten errNotWritten
+	switch {
+	case a.Canceled():
+		status = policy.Canceled
+	case errors.Is(err, sockets.ErrNone): // nothing was wrong with the upstream
+		status = policy.Moot
+	case errors.As(err, &notWritten): // whatever ended it, the upstream never had the whole
+		status = policy.ConnectFailed
+	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(a.Deadline): // else the answer has stalled
+		status = policy.Timeout
+	}
+	t.log.Debug("attempt", "request", a.Name(), "upstream", a.Server, "status", status, "err", err)
+	return engine.Ending{Status: status}
+}
+
+// Probe is a method of engine.Transport. It takes up to 400 ms.
+func (t *Transport) Probe(ctx context.Context, to engine.Endpoint) (policy.Status, *policy.Load) {
+	until := time.Now().Add(probeTimeout)
+	c := t.pool.reuse(to, until)
+	if c == nil {
+		var err error
+		c, err = t.pool.dial(ctx, to, until)
+		if errors.Is(err, sockets.ErrNone) {
+			return policy.Moot, nil
+		}
+		if err != nil {
+			return policy.ConnectFailed, nil
+		}
+	}
+	defer context.AfterFunc(ctx, c.hangUp)()
+	code, minor, err := c.exchange(&Message{Method: http.MethodGet, Target: "/load", Host: to.Addr}, 0)
+	var body []byte
+	last := false
+	if err == nil {
+		c.head.Discard(c.r)
+		body, last, err = c.body(code, minor)
+	}
+	var notWritten errNotWritten
+	switch {
+	case err == nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.Close()
+		return policy.Timeout, nil
+	case errors.As(err, &notWritten):
+		c.Close()
+		return policy.ConnectFailed, nil
+	default:
+		c.Close()
+		return policy.Reset, nil
+	}
+	if last || len(body) >= mostReport {
+		c.Close()
+	} else {
+		t.pool.keep(c)
+	}
+	switch code {
+	case http.StatusOK:
+		return policy.OK, parseLoad(string(body[:min(len(body), mostReport)]), t.fields)
+	case http.StatusServiceUnavailable:
+		return policy.Full, nil
+	}
+	return policy.AppError, nil
+}
+
+// parseLoad reads a report such as "TEXT queue=2, util=0.61" by the names of its fields. It returns nil if
+// there is nothing in it that can be read.
+func parseLoad(text string, fields []string) *policy.Load {
+	text = strings.TrimSpace(text)
+	if format, rest, ok := strings.Cut(text, " "); ok && !strings.ContainsAny(format, "=,") {
+		text = rest
+	}
+	load, found := settings.NoLoad(), false
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(part, "=")
+		if name = strings.TrimSpace(name); !ok || !slices.Contains(fields, name) {
+			continue
+		}
+		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || !(v >= 0 && v <= mostLoad) { // guards against NaN too
+			continue
+		}
+		settings.Set(&load, name, v)
+		found = true
+	}
+	if !found {
+		return nil
+	}
+	return &load
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,8 +11,8 @@
 	"io"
 	"time"
 
-	"heathstack/internal/settings"
-	"heathstack/policy"
+	"quillfront/internal/settings"
+	"quillfront/policy"
 )
 
 // Serve answers the batches read from r on w until r ends. An error means
