--- a/cmd/quillfront/main.go
+++ b/cmd/quillfront/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"quillfront/internal/config"
 	"quillfront/internal/daemon"
 )
 
@@ -38,7 +39,7 @@
 		SilenceErrors: true,
 		RunE:          serve,
 	}
-	root.AddCommand(&cobra.Command{
+	root.AddCommand(demoCommand(), &cobra.Command{
 		Use:   "serve",
 		Short: "Be the sidecar of one application, by the configuration that GW_CONFIG names",
 		Long: "serve takes requests at the address that the configuration gives, until SIGTERM; it then answers all that it\n" +
@@ -56,7 +57,7 @@
 	hangUp := make(chan os.Signal, 1)
 	signal.Notify(hangUp, syscall.SIGHUP)
 	defer signal.Stop(hangUp)
-	cfg, err := daemon.LoadConfig(os.Getenv)
+	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -71,7 +72,7 @@
 	}
 	go func() {
 		for range hangUp {
-			if cfg, err := daemon.LoadConfig(os.Getenv); err != nil {
+			if cfg, err := config.Load(os.Getenv); err != nil {
 				s.ReloadFailed(err)
 			} else {
 				s.Reload(cfg)
--- a/internal/daemon/config.go
+++ b/internal/config/config.go
@@ -1,4 +1,5 @@
-package daemon
+// Package config reads what the platform tells one sidecar at its start and at a reload.
+package config
 
 import (
 	"encoding/json"
@@ -29,14 +30,14 @@
 const (
 	usualMemoryMB = 128
 	usualSockets  = 1024
-	leastMemoryMB = 24 // scored days give 32 and more; the runtime and a full table of connections take about 16
-	leastSockets  = 64
+	LeastMemoryMB = 24 // scored days give 32 and more; the runtime and a full table of connections take about 16
+	LeastSockets  = 64
 )
 
-// LoadConfig reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY stand in for what it lacks. The
+// Load reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY stand in for what it lacks. The
 // file has precedence, as it can be replaced while the program runs and its environment cannot: after a restart the
 // environment may still name a discovery that has moved. An error names the variable or the key at fault.
-func LoadConfig(getenv func(string) string) (Config, error) {
+func Load(getenv func(string) string) (Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("GW_CONFIG is not set")
@@ -45,6 +46,34 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
 	}
+	c, err := Parse(text)
+	if err != nil {
+		var syntax *json.SyntaxError
+		var kind *json.UnmarshalTypeError
+		if errors.As(err, &syntax) || errors.As(err, &kind) {
+			return Config{}, fmt.Errorf("GW_CONFIG %s: %w", path, err)
+		}
+		return Config{}, err
+	}
+	for name, value := range map[string]*string{
+		"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery,
+	} {
+		if *value == "" {
+			*value = getenv(name)
+		}
+	}
+	switch {
+	case c.Listen == "":
+		return Config{}, errors.New("listen is not set")
+	case c.Discovery == "":
+		return Config{}, errors.New("discovery is not set")
+	}
+	return c, nil
+}
+
+// Parse reads the text of a configuration. Where it listens and where discovery is may be missing: that is for the host
+// to judge. An error names the key at fault.
+func Parse(text []byte) (Config, error) {
 	var file struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
@@ -58,19 +87,12 @@
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
-		return Config{}, fmt.Errorf("GW_CONFIG %s: %w", path, err)
+		return Config{}, err
 	}
 	c := Config{
 		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
 		MemoryMB: usualMemoryMB, Sockets: usualSockets,
 	}
-	for name, value := range map[string]*string{
-		"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery,
-	} {
-		if *value == "" {
-			*value = getenv(name)
-		}
-	}
 	if file.Limits.MemoryMB != 0 {
 		c.MemoryMB = int(min(file.Limits.MemoryMB, math.MaxInt32))
 	}
@@ -78,21 +100,19 @@
 		c.Sockets = file.Limits.Sockets
 	}
 	switch {
-	case c.Listen == "":
-		return Config{}, errors.New("listen is not set")
-	case c.Discovery == "":
-		return Config{}, errors.New("discovery is not set")
-	case c.MemoryMB < leastMemoryMB:
-		return Config{}, fmt.Errorf("limits.memory_mb is %d, below %d", c.MemoryMB, leastMemoryMB)
-	case c.Sockets < leastSockets:
-		return Config{}, fmt.Errorf("limits.sockets is %d, below %d", c.Sockets, leastSockets)
+	case c.MemoryMB < LeastMemoryMB:
+		return Config{}, fmt.Errorf("limits.memory_mb is %d, below %d", c.MemoryMB, LeastMemoryMB)
+	case c.Sockets < LeastSockets:
+		return Config{}, fmt.Errorf("limits.sockets is %d, below %d", c.Sockets, LeastSockets)
 	case len(file.Settings) == 0:
 		return Config{}, errors.New("settings is not set")
 	}
 	if file.Seed != "" {
-		if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		seed, err := strconv.ParseUint(file.Seed, 16, 64)
+		if err != nil {
 			return Config{}, fmt.Errorf("seed: %w", err)
 		}
+		c.Seed = seed
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
 		known, err := discovery.Parse(file.Known)
@@ -101,8 +121,10 @@
 		}
 		c.Known = &known
 	}
-	if c.Settings, err = settings.Parse(file.Settings); err != nil {
+	s, err := settings.Parse(file.Settings)
+	if err != nil {
 		return Config{}, err
 	}
+	c.Settings = s
 	return c, nil
 }
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"quillfront/internal/config"
 )
 
 // BenchmarkRequest is the path of one request: client, module, upstream and back, all on kept connections. The
@@ -34,7 +36,7 @@
 			c.Write(answer)
 		}
 	})
-	w := start(b, nil, addr, "127.0.0.1:1", func(c *Config) { c.Settings.Config.MayProbe = false })
+	w := start(b, nil, addr, "127.0.0.1:1", func(c *config.Config) { c.Settings.Config.MayProbe = false })
 	c, err := net.Dial("tcp", w.addr)
 	if err != nil {
 		b.Fatal(err)
--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"quillfront/internal/config"
 	"quillfront/internal/settings"
 )
 
@@ -62,10 +63,10 @@
 }
 
 func TestWithoutAFile(t *testing.T) {
-	if _, err := LoadConfig(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
+	if _, err := config.Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
 		t.Errorf("error %v, want one that names GW_CONFIG", err)
 	}
-	if _, err := LoadConfig(func(string) string { return "/nowhere/at/all" }); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
+	if _, err := config.Load(func(string) string { return "/nowhere/at/all" }); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
 		t.Errorf("error %v, want one that names GW_CONFIG", err)
 	}
 }
@@ -78,7 +79,7 @@
 		t.Fatal(err)
 	}
 	env := map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": "127.0.0.1:3", "GW_LISTEN": "127.0.0.1:4"}
-	c, err := LoadConfig(func(name string) string { return env[name] })
+	c, err := config.Load(func(name string) string { return env[name] })
 	if err != nil || c.Discovery != "127.0.0.1:2" || c.Listen != "127.0.0.1:4" {
 		t.Errorf("discovery %q, listen %q, %v; want the file's, and the environment's where it has none", c.Discovery, c.Listen, err)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"quillfront/internal/config"
 	"quillfront/internal/discovery"
 	"quillfront/internal/engine"
 	"quillfront/internal/httpfront"
@@ -34,7 +35,7 @@
 
 // Sidecar is one real sidecar.
 type Sidecar struct {
-	cfg       Config
+	cfg       config.Config
 	log       *slog.Logger
 	engine    *engine.Engine
 	transport *upstream.Transport
@@ -47,7 +48,7 @@
 }
 
 // New makes a sidecar. It opens no socket.
-func New(cfg Config, log *slog.Logger) (*Sidecar, error) {
+func New(cfg config.Config, log *slog.Logger) (*Sidecar, error) {
 	b, err := policy.New(cfg.Settings.Config, cfg.Seed)
 	if err != nil {
 		return nil, err
@@ -55,7 +56,7 @@
 	return newSidecar(cfg, b, log), nil
 }
 
-func newSidecar(cfg Config, b engine.Module, log *slog.Logger) *Sidecar {
+func newSidecar(cfg config.Config, b engine.Module, log *slog.Logger) *Sidecar {
 	s := &Sidecar{cfg: cfg, log: log, sockets: sockets.New(cfg.Sockets), room: httpfront.NewRoom(cfg.MemoryMB), discovery: cfg.Discovery}
 	s.transport = upstream.New(cfg.Settings, s.sockets, log)
 	s.engine = engine.New(engine.Options{
@@ -73,10 +74,11 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return s.serve(ctx, ln.(*net.TCPListener))
+	return s.Serve(ctx, ln.(*net.TCPListener))
 }
 
-func (s *Sidecar) serve(ctx context.Context, ln *net.TCPListener) error {
+// Serve is Run on a listener that is open already, and closes it.
+func (s *Sidecar) Serve(ctx context.Context, ln *net.TCPListener) error {
 	defer s.close()
 	backlog := &backlog{TCPListener: ln}
 	served := make(chan error, 1)
@@ -105,7 +107,7 @@
 
 // Reload takes over what of cfg can change while the sidecar runs: the address of discovery. The rest is for the next
 // start, which the log tells.
-func (s *Sidecar) Reload(cfg Config) {
+func (s *Sidecar) Reload(cfg config.Config) {
 	old := s.cfg
 	if cfg.Name != old.Name || cfg.Listen != old.Listen || cfg.MemoryMB != old.MemoryMB || cfg.Sockets != old.Sockets ||
 		!reflect.DeepEqual(cfg.Settings, old.Settings) {
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"quillfront/internal/config"
 	"quillfront/internal/sockets"
 	"quillfront/policy"
 )
@@ -73,7 +74,7 @@
 // TestDrainEmptiesTheBacklog: connections that the kernel has accepted count as taken.
 func TestDrainEmptiesTheBacklog(t *testing.T) {
 	g := newGate(t)
-	w := start(t, newScript(), g.addr, "127.0.0.1:1", func(c *Config) { c.Sockets = leastSockets })
+	w := start(t, newScript(), g.addr, "127.0.0.1:1", func(c *config.Config) { c.Sockets = config.LeastSockets })
 	var clients []*client
 	for range w.clientPlaces() + 5 { // five have to wait
 		c := w.connect(t)
@@ -105,9 +106,9 @@
 // TestSocketsAreBounded: many times as many clients as there are descriptors get their answers, by turns.
 func TestSocketsAreBounded(t *testing.T) {
 	m := newScript()
-	w := start(t, m, peer(t, say(okAnswer)), "127.0.0.1:1", func(c *Config) { c.Sockets = leastSockets })
+	w := start(t, m, peer(t, say(okAnswer)), "127.0.0.1:1", func(c *config.Config) { c.Sockets = config.LeastSockets })
 	var clients []*client
-	for range 4 * leastSockets {
+	for range 4 * config.LeastSockets {
 		c := w.connect(t)
 		c.write(plainGet)
 		clients = append(clients, c)
@@ -116,7 +117,7 @@
 		if resp, _ := c.read(t); resp.StatusCode != http.StatusOK {
 			t.Fatalf("answer %d", resp.StatusCode)
 		}
-		if n := w.inUse(); n > leastSockets-sockets.Spare {
+		if n := w.inUse(); n > config.LeastSockets-sockets.Spare {
 			t.Fatalf("%d descriptors in use", n)
 		}
 	}
@@ -125,7 +126,7 @@
 // TestSilentConnectionsMakeRoom guards against incident rab7690: connections on which nothing ever comes must not
 // keep clients out. The one that has been silent longest goes, and no other.
 func TestSilentConnectionsMakeRoom(t *testing.T) {
-	w := start(t, newScript(), peer(t, say(okAnswer)), "127.0.0.1:1", func(c *Config) { c.Sockets = leastSockets })
+	w := start(t, newScript(), peer(t, say(okAnswer)), "127.0.0.1:1", func(c *config.Config) { c.Sockets = config.LeastSockets })
 	quiet := func() int { return w.server.Stats().Quiet }
 	var silent []*client
 	begun := w.connect(t) // a head that is slow to come is not silence
@@ -152,8 +153,8 @@
 // TestNoDescriptorForAnAttempt: an attempt that gets none in time has never run, and is no evidence against the upstream.
 func TestNoDescriptorForAnAttempt(t *testing.T) {
 	m := newScript()
-	w := start(t, m, peer(t, say(okAnswer)), "127.0.0.1:1", func(c *Config) {
-		c.Sockets = leastSockets
+	w := start(t, m, peer(t, say(okAnswer)), "127.0.0.1:1", func(c *config.Config) {
+		c.Sockets = config.LeastSockets
 		c.Settings.Config.DialTimeout = 30 * time.Millisecond
 	})
 	c := w.connect(t)
@@ -201,7 +202,7 @@
 			return
 		}
 		say(okAnswer)(n, c)
-	}), "127.0.0.1:1", func(c *Config) { c.Settings.Config.ConnIdle = 100 * time.Millisecond })
+	}), "127.0.0.1:1", func(c *config.Config) { c.Settings.Config.ConnIdle = 100 * time.Millisecond })
 	var clients []*client
 	for range 50 {
 		c := w.connect(t)
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"quillfront/internal/config"
 	"quillfront/internal/engine"
 	"quillfront/internal/httpmsg"
 	"quillfront/policy"
@@ -236,7 +237,7 @@
 		io.WriteString(c, text)
 	}))
 	const aim = 1500 * time.Millisecond
-	w := start(t, nil, addr, "127.0.0.1:1", func(c *Config) {
+	w := start(t, nil, addr, "127.0.0.1:1", func(c *config.Config) {
 		c.Settings.Config.MayProbe = false
 		for i := range c.Settings.Config.Classes {
 			c.Settings.Config.Classes[i].Aim = aim
@@ -271,7 +272,7 @@
 		}
 		io.WriteString(c, text)
 	}))
-	w := start(t, nil, addr, "127.0.0.1:1", func(c *Config) {
+	w := start(t, nil, addr, "127.0.0.1:1", func(c *config.Config) {
 		for i := range c.Settings.Config.Classes {
 			c.Settings.Config.Classes[i].Aim, c.Settings.Config.Classes[i].LateShare = aim, 0.5
 		}
@@ -477,8 +478,8 @@
 // TestRoomIsBounded: bodies that are only announced never hold more than their part of the memory, and one that finds
 // no room is refused rather than lost.
 func TestRoomIsBounded(t *testing.T) {
-	w := start(t, newScript(), peer(t, say(okAnswer)), "127.0.0.1:1", func(c *Config) { c.MemoryMB = leastMemoryMB })
-	if !w.room.TryAcquire(leastMemoryMB<<20/8) || w.room.TryAcquire(1) {
+	w := start(t, newScript(), peer(t, say(okAnswer)), "127.0.0.1:1", func(c *config.Config) { c.MemoryMB = config.LeastMemoryMB })
+	if !w.room.TryAcquire(config.LeastMemoryMB<<20/8) || w.room.TryAcquire(1) {
 		t.Error("the room is not its part of the memory")
 	}
 	resp, _ := w.ask(t, "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: 1\n\nx")
@@ -520,7 +521,7 @@
 		})
 	}
 	free, busy := peer(t, serve("queue=0", service)), peer(t, serve("queue=100", 20*service))
-	w := start(t, nil, free, "127.0.0.1:1", func(c *Config) {
+	w := start(t, nil, free, "127.0.0.1:1", func(c *config.Config) {
 		c.Known.Servers = append(c.Known.Servers, engine.Server{ID: "b", Addr: busy, Zone: "z"})
 		c.Settings.Config.ProbeTariff = 1e6      // nothing is probed but for the first request
 		c.Settings.Config.Classes[1].Worth = 1e4 // so that the others stand little of a queue, well below their aim
@@ -556,7 +557,7 @@
 		}
 		io.WriteString(c, text)
 	}))
-	w := start(t, nil, addr, "127.0.0.1:1", func(c *Config) {
+	w := start(t, nil, addr, "127.0.0.1:1", func(c *config.Config) {
 		c.Settings.Config.MaxRetryAfter = time.Second
 		c.Settings.Config.ProbeTariff = 1e6      // nothing is probed but for the first request
 		c.Settings.Config.Classes[1].Worth = 1e4 // so that the others stand little of a queue
@@ -614,7 +615,7 @@
 		}))
 		hosts = append(hosts, engine.Server{ID: policy.ServerID(fmt.Sprint("u", i)), Addr: addr, Zone: "z"})
 	}
-	w := start(t, nil, "127.0.0.1:1", "127.0.0.1:1", func(c *Config) {
+	w := start(t, nil, "127.0.0.1:1", "127.0.0.1:1", func(c *config.Config) {
 		c.Known.Servers = hosts
 		c.Settings.Config.MayProbe = false
 	})
@@ -635,8 +636,8 @@
 // TestCrowdIsNotKept guards against clients that ask once and keep their connection, each with a new one: a few are kept
 // for their next request, a crowd is told that its answers are the last.
 func TestCrowdIsNotKept(t *testing.T) {
-	w := start(t, nil, peer(t, say(okAnswer)), "127.0.0.1:1", func(c *Config) {
-		c.Sockets, c.Settings.Config.MayProbe = leastSockets, false
+	w := start(t, nil, peer(t, say(okAnswer)), "127.0.0.1:1", func(c *config.Config) {
+		c.Sockets, c.Settings.Config.MayProbe = config.LeastSockets, false
 	})
 	const many = 20 // of 28 places for clients
 	kept := 0
@@ -678,7 +679,7 @@
 					io.WriteString(c, text)
 				}))
 			}
-			w := start(t, nil, serve(load), "127.0.0.1:1", func(c *Config) {
+			w := start(t, nil, serve(load), "127.0.0.1:1", func(c *config.Config) {
 				for i := range 3 {
 					c.Known.Servers = append(c.Known.Servers, engine.Server{ID: policy.ServerID(fmt.Sprint("u", i)), Addr: serve(load), Zone: "z"})
 				}
@@ -703,7 +704,7 @@
 		io.WriteString(c, text)
 	}))
 	const aim = 300 * time.Millisecond
-	w := start(t, nil, addr, "127.0.0.1:1", func(c *Config) {
+	w := start(t, nil, addr, "127.0.0.1:1", func(c *config.Config) {
 		c.Settings.Config.MayProbe = false
 		for i := range c.Settings.Config.Classes {
 			c.Settings.Config.Classes[i].Aim, c.Settings.Config.Classes[i].LateShare = aim, 0.5
--- a/internal/daemon/upstream_test.go
+++ b/internal/daemon/upstream_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"quillfront/internal/config"
 	"quillfront/internal/engine"
 	upstreams "quillfront/internal/upstream"
 	"quillfront/policy"
@@ -140,7 +141,7 @@
 		}
 	}
 	m := newScript()
-	w := start(t, m, ln.Addr().String(), "127.0.0.1:1", func(c *Config) {
+	w := start(t, m, ln.Addr().String(), "127.0.0.1:1", func(c *config.Config) {
 		c.Settings.Config.DialTimeout = 50 * time.Millisecond
 	})
 	w.ask(t, plainGet)
@@ -217,7 +218,7 @@
 		}
 	})
 	t.Run("closed in time", func(t *testing.T) {
-		w := start(t, newScript(), addr, "127.0.0.1:1", func(c *Config) {
+		w := start(t, newScript(), addr, "127.0.0.1:1", func(c *config.Config) {
 			c.Settings.Config.ConnIdle = 100 * time.Millisecond
 		})
 		w.ask(t, plainGet)
--- a/internal/daemon/world_test.go
+++ b/internal/daemon/world_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"quillfront/internal/config"
 	"quillfront/policy"
 )
 
@@ -120,13 +121,13 @@
 }
 
 // loadText reads a configuration from its text.
-func loadText(t testing.TB, text string) (Config, error) {
+func loadText(t testing.TB, text string) (config.Config, error) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return LoadConfig(func(name string) string {
+	return config.Load(func(name string) string {
 		if name == "GW_CONFIG" {
 			return path
 		}
@@ -143,7 +144,7 @@
 }
 
 // start runs a sidecar under m, or under the real module if m is nil, until the test ends.
-func start(t testing.TB, m *script, dial, discovery string, change ...func(*Config)) *world {
+func start(t testing.TB, m *script, dial, discovery string, change ...func(*config.Config)) *world {
 	t.Helper()
 	cfg, err := loadText(t, configText(dial, discovery))
 	if err != nil {
@@ -166,7 +167,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{Sidecar: s, addr: ln.Addr().String(), term: cancel, over: make(chan error, 1)}
-	go func() { w.over <- s.serve(ctx, ln.(*net.TCPListener)) }()
+	go func() { w.over <- s.Serve(ctx, ln.(*net.TCPListener)) }()
 	t.Cleanup(func() {
 		cancel()
 		s.server.CloseAll()
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,453 @@
+// Package demo shows a sidecar at work: stand-in boxes, a discovery and a sidecar in one process, some seconds of real
+// HTTP requests through troubles, and an account of what became of them with the four rules checked.
+package demo
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"quillfront/internal/config"
+	"quillfront/internal/daemon"
+	"quillfront/internal/standin"
+	"quillfront/policy"
+)
+
+// Options says how a demo runs. Zero values take the defaults.
+type Options struct {
+	For      time.Duration      // how long requests come; 6 s
+	Rate     float64            // requests a second; 300
+	Seed     uint64             // 1
+	Progress func(Progress)     // called some times a second; may be nil
+	Sabotage func(*standin.Box) // what else is done to the box that drains, for tests of the account
+}
+
+// Progress is how far a demo is.
+type Progress struct {
+	At                      time.Duration
+	Asked, Served, Open     int
+	Refused, Failed         int
+	Event                   string // what has just happened; empty: nothing
+	P50, P99                time.Duration
+	Boxes, Draining, Erring int
+}
+
+// ClassReport is what became of one class.
+type ClassReport struct {
+	Asked   int     `json:"asked"`
+	Served  int     `json:"served"`
+	Late    int     `json:"late"` // of the served: after the aim
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	P50     float64 `json:"p50_ms"`
+	P99     float64 `json:"p99_ms"`
+}
+
+// BoxReport is what one box got.
+type BoxReport struct {
+	Share    float64 `json:"share"` // of all sends
+	Requests int     `json:"requests"`
+	Late     int     `json:"late"`
+	Fallen   bool    `json:"fallen"`
+	Note     string  `json:"note,omitempty"`
+}
+
+// Report is the account of a demo.
+type Report struct {
+	Asked   int                     `json:"asked"`
+	Served  int                     `json:"served"`
+	Refused int                     `json:"refused"`
+	Failed  int                     `json:"failed"`
+	Lost    int                     `json:"lost"` // without one final answer in time
+	Classes map[string]*ClassReport `json:"classes"`
+	Boxes   map[string]*BoxReport   `json:"boxes"`
+
+	Duplicates     int `json:"duplicates"`             // effects that took place more than once
+	LateToDraining int `json:"late_sends_to_draining"` // sends later than 2 s after discovery told of a drain
+	Fallen         int `json:"fallen"`                 // cold boxes that were pushed over
+
+	Broken []string `json:"broken"` // the rules that broke, in words
+}
+
+// class is a class of the demo's requests and the work that one is.
+type class struct {
+	policy.Class
+	share float64
+	work  time.Duration
+}
+
+var classes = []class{
+	{policy.Class{Name: "allocation-check", Effect: policy.Safe, Aim: 150 * time.Millisecond, Deadline: 1500 * time.Millisecond, Worth: 2, LateShare: 0.3}, 0.47, 15 * time.Millisecond},
+	{policy.Class{Name: "delivery-order", Effect: policy.Keyed, Group: policy.GroupAll, KeyTTL: 1500 * time.Millisecond, Aim: 150 * time.Millisecond, Deadline: 1500 * time.Millisecond, Worth: 10, LateShare: 0.5}, 0.34, 12 * time.Millisecond},
+	{policy.Class{Name: "meter-booking", Effect: policy.Keyed, Group: policy.GroupCell, KeyTTL: 12 * time.Second, Aim: 300 * time.Millisecond, Deadline: 1500 * time.Millisecond, Worth: 3, LateShare: 0.2}, 0.19, 20 * time.Millisecond},
+}
+
+// answerSlack is how much later than its time a client still takes an answer for in time, on a machine that is busy.
+const answerSlack = 250 * time.Millisecond
+
+// mostOpen bounds the requests that are open at once; one that finds no place counts as lost.
+const mostOpen = 2000
+
+// run is a demo under way.
+type run struct {
+	Options
+	fleet  *standin.Fleet
+	url    string
+	client *http.Client
+
+	mu      sync.Mutex
+	report  Report
+	hist    map[string]*hdrhistogram.Histogram // of the served, in microseconds, by class
+	all     *hdrhistogram.Histogram
+	open    int
+	event   string
+	notes   map[string]string // by box
+	began   time.Time
+	clients sync.WaitGroup
+}
+
+// Run plays a demo and returns its account.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	o.For, o.Rate, o.Seed = cmp.Or(o.For, 6*time.Second), cmp.Or(o.Rate, 300), cmp.Or(o.Seed, 1)
+	if o.For < time.Second || o.For > time.Hour {
+		return nil, fmt.Errorf("demo: length %v is outside 1 s to 1 h", o.For)
+	}
+	if !(o.Rate > 0 && o.Rate <= 5000) {
+		return nil, fmt.Errorf("demo: rate %v is outside 0 to 5000 requests a second", o.Rate)
+	}
+	r := &run{
+		Options: o, hist: map[string]*hdrhistogram.Histogram{}, all: newHistogram(), notes: map[string]string{},
+		report: Report{Classes: map[string]*ClassReport{}, Boxes: map[string]*BoxReport{}, Broken: []string{}},
+	}
+	var rules []policy.Class
+	for _, c := range classes {
+		rules = append(rules, c.Class)
+		r.report.Classes[c.Name], r.hist[c.Name] = &ClassReport{}, newHistogram()
+	}
+	fleet, err := standin.NewFleet(rules, o.Seed, 300*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	r.fleet = fleet
+	fleet.Disco.SetLag(0) // the list before the start is known to all
+	boxes := map[string]*standin.Box{}
+	for i, id := range []string{"clare-1", "clare-2", "clare-3", "giru-1", "giru-2", "giru-3"} {
+		b, err := fleet.Start(standin.BoxConfig{ID: id, Zone: strings.Split(id, "-")[0], Cell: i % 3, Cores: 2, ByCost: true, Waiting: 64})
+		if err != nil {
+			return nil, err
+		}
+		boxes[id] = b
+	}
+	fleet.Disco.SetLag(300 * time.Millisecond)
+	known := fleet.Disco.List()
+	cfg, err := config.Parse(standin.Platform{
+		Discovery: fleet.Disco.Addr(), Seed: o.Seed, Known: &known, Zone: "clare", Classes: rules, Ramp: 8600 * time.Millisecond,
+		Sockets: 4096,
+	}.JSON())
+	if err != nil {
+		return nil, err
+	}
+	sidecar, err := daemon.New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	side, stop := context.WithCancel(context.Background())
+	defer stop()
+	served := make(chan error, 1)
+	go func() { served <- sidecar.Serve(side, ln.(*net.TCPListener)) }()
+	transport := &http.Transport{MaxIdleConnsPerHost: mostOpen, MaxConnsPerHost: mostOpen, DisableCompression: true}
+	r.url, r.client = "http://"+ln.Addr().String(), &http.Client{Transport: transport}
+
+	r.began = time.Now()
+	var acts sync.WaitGroup
+	playing, played := context.WithCancel(ctx)
+	acts.Go(func() { r.troubles(playing, boxes) })
+	acts.Go(func() { r.progress(playing) })
+	err = r.load(ctx)
+	r.clients.Wait()
+	played()
+	acts.Wait()
+	transport.CloseIdleConnections()
+	stop()
+	if serr := <-served; err == nil {
+		err = serr
+	}
+	if err != nil {
+		return nil, err
+	}
+	r.account()
+	return &r.report, nil
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, (10 * time.Second).Microseconds(), 3)
+}
+
+// troubles plays the day: a box that errs, one that drains, a cold one, at fixed shares of its length.
+func (r *run) troubles(ctx context.Context, boxes map[string]*standin.Box) {
+	steps := []struct {
+		at   float64
+		text string
+		do   func() error
+	}{
+		{0.15, "clare-2 errs on 60% of its requests", func() error { boxes["clare-2"].Set(standin.Trouble{Err: 0.6}); return nil }},
+		{0.30, "giru-3 is to drain", func() error {
+			r.fleet.Leave(boxes["giru-3"])
+			if r.Sabotage != nil {
+				r.Sabotage(boxes["giru-3"])
+			}
+			return nil
+		}},
+		{0.45, "giru-4 starts cold", func() error {
+			_, err := r.fleet.Start(standin.BoxConfig{ID: "giru-4", Zone: "giru", Cell: 2, Cores: 2, ByCost: true, Cold: true})
+			return err
+		}},
+		{0.60, "clare-2 is well again", func() error { boxes["clare-2"].Set(standin.Trouble{}); return nil }},
+		{0.70, "clare-1 loses or spoils 5% of its answers", func() error {
+			boxes["clare-1"].Set(standin.Trouble{Lose: 0.02, Spoil: 0.02, Break: 0.01})
+			return nil
+		}},
+	}
+	for _, s := range steps {
+		if !sleepUntil(ctx, r.began.Add(time.Duration(s.at*float64(r.For)))) {
+			return
+		}
+		if err := s.do(); err != nil {
+			s.text += ": " + err.Error()
+		}
+		r.mu.Lock()
+		r.event = s.text
+		name, note, _ := strings.Cut(s.text, " ")
+		r.notes[name] = strings.TrimPrefix(r.notes[name]+"; "+note, "; ")
+		r.mu.Unlock()
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// progress tells how far the demo is.
+func (r *run) progress(ctx context.Context) {
+	if r.Progress == nil {
+		return
+	}
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		r.mu.Lock()
+		p := Progress{
+			At: time.Since(r.began), Asked: r.report.Asked, Served: r.report.Served, Open: r.open, Refused: r.report.Refused,
+			Failed: r.report.Failed, Event: r.event, P50: quantile(r.all, 50), P99: quantile(r.all, 99),
+		}
+		r.event = ""
+		r.mu.Unlock()
+		r.Progress(p)
+	}
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtPercentile(q)) * time.Microsecond
+}
+
+// load sends requests on a schedule that does not wait for answers.
+func (r *run) load(ctx context.Context) error {
+	rng := rand.New(rand.NewPCG(r.Seed, 7))
+	due := r.began
+	for n := 0; ; n++ {
+		due = due.Add(time.Duration(rng.ExpFloat64() / r.Rate * float64(time.Second)))
+		if due.Sub(r.began) > r.For {
+			return nil
+		}
+		if !sleepUntil(ctx, due) {
+			return ctx.Err()
+		}
+		draw, c := rng.Float64(), classes[0]
+		for _, k := range classes {
+			if c = k; draw < k.share {
+				break
+			}
+			draw -= k.share
+		}
+		work := time.Duration(float64(c.work) * (0.6 + 0.8*rng.Float64()))
+		r.mu.Lock()
+		r.report.Asked++
+		r.report.Classes[c.Name].Asked++
+		full := r.open >= mostOpen
+		if full {
+			r.report.Lost++
+		} else {
+			r.open++
+		}
+		r.mu.Unlock()
+		if !full {
+			r.clients.Go(func() { r.ask(c, n, due, work) })
+		}
+	}
+}
+
+// ask is one request of a client, which asks once.
+func (r *run) ask(c class, n int, due time.Time, work time.Duration) {
+	status, err := r.exchange(c, n, work)
+	took := time.Since(due)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open--
+	k := r.report.Classes[c.Name]
+	switch {
+	case err != nil || time.Since(due) > c.Deadline+answerSlack && status != http.StatusOK:
+		r.report.Lost++
+	case status == http.StatusOK:
+		r.report.Served++
+		k.Served++
+		if took > c.Aim {
+			k.Late++
+		}
+		r.hist[c.Name].RecordValue(min(took, 10*time.Second).Microseconds())
+		r.all.RecordValue(min(took, 10*time.Second).Microseconds())
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		r.report.Refused++
+		k.Refused++
+	default:
+		r.report.Failed++
+		k.Failed++
+	}
+}
+
+func (r *run) exchange(c class, n int, work time.Duration) (status int, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Deadline+answerSlack)
+	defer cancel()
+	method, body := http.MethodGet, io.Reader(nil)
+	if c.Effect != policy.Safe {
+		method, body = http.MethodPost, strings.NewReader(strings.Repeat("x", 200))
+	}
+	q, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("%s/%s/farm-%d", r.url, c.Name, n%97), body)
+	if err != nil {
+		return 0, err
+	}
+	q.Header.Set("X-Request-ID", fmt.Sprintf("r%d", n))
+	q.Header.Set("X-Timeout-Ms", strconv.FormatInt(c.Deadline.Milliseconds(), 10))
+	q.Header.Set("X-Cost", strconv.FormatInt(work.Microseconds(), 10))
+	if c.Effect != policy.Safe {
+		q.Header.Set("Idempotency-Key", fmt.Sprintf("k%d", n))
+	}
+	resp, err := r.client.Do(q)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err
+	}
+	if resp.StatusCode == http.StatusOK && !strings.HasPrefix(string(got), method+" /"+c.Name+"/") {
+		return 0, errors.New("an answer that no box made for this request")
+	}
+	return resp.StatusCode, nil
+}
+
+// account sums up, and checks the four rules.
+func (r *run) account() {
+	total := 0
+	for _, b := range r.fleet.Boxes() {
+		n := b.Counts()
+		r.report.Boxes[b.ID()] = &BoxReport{Requests: int(n.Requests), Late: int(n.Late), Fallen: n.Fallen, Note: r.notes[b.ID()]}
+		r.report.LateToDraining += int(n.Late)
+		total += int(n.Requests)
+		if n.Fallen {
+			r.report.Fallen++
+		}
+	}
+	for _, b := range r.report.Boxes {
+		b.Share = float64(b.Requests) / float64(max(total, 1))
+	}
+	for name, k := range r.report.Classes {
+		k.P50, k.P99 = ms(quantile(r.hist[name], 50)), ms(quantile(r.hist[name], 99))
+	}
+	r.report.Duplicates = r.fleet.Effects().Duplicates
+	for _, rule := range []struct {
+		n    int
+		text string
+	}{
+		{r.report.Lost, "requests without one final answer in time"},
+		{r.report.Duplicates, "effects that took place twice"},
+		{r.report.LateToDraining, "sends to a draining box later than 2 s after it was told"},
+		{r.report.Fallen, "cold boxes pushed over"},
+	} {
+		if rule.n > 0 {
+			r.report.Broken = append(r.report.Broken, fmt.Sprintf("%d %s", rule.n, rule.text))
+		}
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// Write writes the account as tables.
+func (r *Report) Write(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-18s %7s %7s %6s %8s %7s %9s %9s\n", "class", "asked", "served", "late", "refused", "failed", "p50 ms", "p99 ms")
+	for _, name := range sortedKeys(r.Classes) {
+		c := r.Classes[name]
+		fmt.Fprintf(&b, "%-18s %7d %7d %6d %8d %7d %9.1f %9.1f\n", name, c.Asked, c.Served, c.Late, c.Refused, c.Failed, c.P50, c.P99)
+	}
+	fmt.Fprintf(&b, "\n%-18s %7s %7s  %s\n", "box", "sends", "share", "")
+	for _, name := range sortedKeys(r.Boxes) {
+		x := r.Boxes[name]
+		fmt.Fprintf(&b, "%-18s %7d %6.1f%%  %s\n", name, x.Requests, 100*x.Share, x.Note)
+	}
+	b.WriteString("\nthe four rules\n")
+	for _, rule := range []struct {
+		n    int
+		text string
+	}{
+		{r.Lost, "each request has one final answer in time"}, {r.Duplicates, "no effect happens twice"},
+		{r.LateToDraining, "nothing new to a draining box after 2 s"}, {r.Fallen, "no cold box is pushed over"},
+	} {
+		verdict := "kept"
+		if rule.n > 0 {
+			verdict = fmt.Sprintf("BROKEN (%d)", rule.n)
+		}
+		fmt.Fprintf(&b, "  %-44s %s\n", rule.text, verdict)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/standin/box.go
@@ -0,0 +1,375 @@
+// Package standin stands in for what a balancer has around it: HTTP servers with cores, a waiting room, a cold start,
+// drains, load reports and troubles on order (Box), the fleet of them with the memory by which they drop repeats (Fleet),
+// and a discovery that lists them, runs late and goes down (Discovery). All of it listens on loopback addresses only, and
+// draws its chances from a seed. It counts what the four rules are about: executions, late sends, falls.
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Fault is what goes wrong with one request at a box.
+type Fault int
+
+// The faults.
+const (
+	None     Fault = iota
+	Err            // answered 500, not executed
+	TurnAway       // answered 503 with X-Not-Processed, not executed
+	Spoil          // executed, and answered with noise
+	Lose           // executed, and never answered
+	Break          // executed, and the connection reset in place of an answer
+)
+
+// Trouble is how often each fault happens by chance, as shares of the requests.
+type Trouble struct{ Err, Spoil, Lose, Break float64 }
+
+// BoxConfig is what one box is like. Zero values take the defaults.
+type BoxConfig struct {
+	ID   string
+	Zone string
+	Cell int
+
+	Cores   int           // requests worked on at once; 2
+	Waiting int           // requests that may wait; 64
+	Work    time.Duration // for a request at full warmth where none is given by X-Cost; 0: none at all
+	ByCost  bool          // take the work from X-Cost
+
+	Cold     bool          // it has just started
+	ColdFrom float64       // share of its capacity at its start; 0.31
+	Ramp     time.Duration // until it is warm; 8.6 s
+	Multiple float64       // sent more than this multiple of its present capacity for a second it falls over; 2.5
+
+	// Script, if set, says what goes wrong with the nth request (from 0) in place of chance.
+	Script func(n int, q *http.Request) Fault
+	// Body is what it answers with; nil: its name and the request's target.
+	Body []byte
+}
+
+// mostKept bounds what a box remembers of the requests that it has had.
+const mostKept = 100_000
+
+// Box is one stand-in server.
+type Box struct {
+	cfg   BoxConfig
+	fleet *Fleet
+	ln    net.Listener
+	srv   *http.Server
+	done  sync.WaitGroup
+	end   chan struct{} // closed when it ends
+	slots chan struct{}
+
+	requests atomic.Int64 // that came, turned away ones too
+	probes   atomic.Int64
+	waiting  atomic.Int64
+	held     atomic.Int64 // waiting or worked on
+	late     atomic.Int64 // requests after the drain's grace
+	conns    atomic.Int64 // opened
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	trouble  Trouble
+	born     time.Time
+	draining bool
+	toldAt   time.Time // when discovery told of its drain
+	offered  []offer   // of the last second
+	fallen   bool
+	errs     []time.Time // of the last second
+	ids      []string    // the X-Request-IDs that came, in order
+}
+
+// offer is work that came.
+type offer struct {
+	at   time.Time
+	work time.Duration
+}
+
+// Counts is what a box has seen.
+type Counts struct {
+	Requests, Probes, Late, Conns int64
+	Fallen                        bool
+}
+
+// drainGrace is how long after it was told a sidecar may still send to a box that drains: 2 s, and the 50 ms that
+// sockets are given.
+const drainGrace = 2*time.Second + 50*time.Millisecond
+
+func startBox(cfg BoxConfig, f *Fleet, seed uint64) (*Box, error) {
+	if cfg.ID == "" {
+		return nil, errors.New("standin: a box without ID")
+	}
+	cfg.Cores, cfg.Waiting = orElse(cfg.Cores, 2), orElse(cfg.Waiting, 64)
+	cfg.ColdFrom, cfg.Ramp, cfg.Multiple = orElse(cfg.ColdFrom, 0.31), orElse(cfg.Ramp, 8600*time.Millisecond), orElse(cfg.Multiple, 2.5)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("standin: box %s: %w", cfg.ID, err)
+	}
+	b := &Box{
+		cfg: cfg, fleet: f, ln: ln, end: make(chan struct{}), slots: make(chan struct{}, cfg.Cores),
+		rng: rand.New(rand.NewPCG(seed, 1)),
+	}
+	if cfg.Cold {
+		b.born = time.Now()
+	}
+	b.srv = &http.Server{
+		Handler: b, ErrorLog: log.New(io.Discard, "", 0),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			if s == http.StateNew {
+				b.conns.Add(1)
+			}
+		},
+	}
+	b.done.Go(func() { b.srv.Serve(ln) })
+	return b, nil
+}
+
+func orElse[T comparable](v, other T) T {
+	var zero T
+	if v == zero {
+		return other
+	}
+	return v
+}
+
+// ID returns its name.
+func (b *Box) ID() string { return b.cfg.ID }
+
+// Addr returns where it listens.
+func (b *Box) Addr() string { return b.ln.Addr().String() }
+
+// Set sets how often what goes wrong from now on.
+func (b *Box) Set(t Trouble) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.trouble = t
+}
+
+// Counts returns what it has seen so far.
+func (b *Box) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Counts{b.requests.Load(), b.probes.Load(), b.late.Load(), b.conns.Load(), b.fallen}
+}
+
+// IDs returns the X-Request-IDs of the requests that it has had, in the order in which they came, up to 100,000.
+func (b *Box) IDs() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.ids...)
+}
+
+// drain makes it finish what it has and turn away what is new.
+func (b *Box) drain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.draining = true
+}
+
+// told notes that discovery has told of its drain.
+func (b *Box) told(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.toldAt.IsZero() {
+		b.toldAt = at
+	}
+}
+
+// close ends it as a process ends that is killed: its connections are reset, and new ones refused.
+func (b *Box) close() {
+	select {
+	case <-b.end:
+		return
+	default:
+	}
+	close(b.end)
+	b.srv.Close()
+	b.done.Wait()
+}
+
+// ServeHTTP is the method of http.Handler.
+func (b *Box) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	switch q.URL.Path {
+	case "/load", "/healthz":
+		b.probes.Add(1)
+		b.report(w)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, 64<<10))
+	if err != nil {
+		return
+	}
+	n := b.requests.Add(1) - 1
+	fault, refuse, work := b.arrive(int(n), q)
+	if refuse || fault == TurnAway {
+		w.Header().Set("X-Not-Processed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if fault == Err {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if !b.work(work) {
+		panic(http.ErrAbortHandler)
+	}
+	b.fleet.execute(b, q, time.Now())
+	switch fault {
+	case Lose:
+		select { // a peer that leaves is noticed; a box that ends closes the connection
+		case <-q.Context().Done():
+		case <-b.end:
+		}
+		panic(http.ErrAbortHandler)
+	case Break:
+		panic(http.ErrAbortHandler)
+	case Spoil:
+		if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\n\x00\x01noise")
+			c.Close()
+		}
+		return
+	}
+	answer := b.cfg.Body
+	if answer == nil {
+		answer = fmt.Appendf(nil, "%s %s %d", q.Method, q.URL.Path, len(body))
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	w.Write(answer)
+}
+
+// arrive notes a request, and says what is to become of it.
+func (b *Box) arrive(n int, q *http.Request) (fault Fault, refuse bool, work time.Duration) {
+	now := time.Now()
+	work = b.cfg.Work
+	if us, err := strconv.ParseInt(q.Header.Get("X-Cost"), 10, 64); b.cfg.ByCost && err == nil && us > 0 {
+		work = min(time.Duration(us)*time.Microsecond, time.Minute)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ids) < mostKept {
+		b.ids = append(b.ids, q.Header.Get("X-Request-Id"))
+	}
+	if !b.toldAt.IsZero() && now.Sub(b.toldAt) > drainGrace {
+		b.late.Add(1)
+	}
+	b.overdriven(now, work)
+	draw := b.rng.Float64()
+	if b.draining || b.fallen || b.held.Load() >= int64(b.cfg.Cores+b.cfg.Waiting) {
+		return None, true, 0
+	}
+	if b.cfg.Script != nil {
+		return b.cfg.Script(n, q), false, work
+	}
+	for _, c := range []struct {
+		share float64
+		fault Fault
+	}{{b.trouble.Err, Err}, {b.trouble.Spoil, Spoil}, {b.trouble.Lose, Lose}, {b.trouble.Break, Break}} {
+		if draw < c.share {
+			if c.fault == Err {
+				b.errs = append(b.errs, now)
+			}
+			return c.fault, false, work
+		}
+		draw -= c.share
+	}
+	return None, false, work
+}
+
+// overdriven lets a cold box fall over that is sent more than a multiple of what it can do, over the last second. The
+// work of three requests more than that passes, for chance.
+func (b *Box) overdriven(now time.Time, work time.Duration) {
+	if b.born.IsZero() || now.Sub(b.born) > b.cfg.Ramp {
+		b.offered = nil
+		return
+	}
+	b.offered = append(b.offered, offer{now, work})
+	var sum, most time.Duration
+	from := 0
+	for i, o := range b.offered {
+		if now.Sub(o.at) > time.Second {
+			from = i + 1
+			continue
+		}
+		sum += o.work
+		most = max(most, o.work)
+	}
+	b.offered = b.offered[from:]
+	can := b.cfg.Multiple * b.warmth(now) * float64(b.cfg.Cores) * float64(time.Second)
+	if float64(sum) > can+3*float64(most) {
+		b.fallen = true
+	}
+}
+
+// warmth is the share of its capacity that it has.
+func (b *Box) warmth(now time.Time) float64 {
+	if b.born.IsZero() || now.Sub(b.born) >= b.cfg.Ramp {
+		return 1
+	}
+	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*float64(now.Sub(b.born))/float64(b.cfg.Ramp)
+}
+
+// work waits for a core and works, whether or not anybody still waits for it. It reports false if the box has ended.
+func (b *Box) work(d time.Duration) bool {
+	b.held.Add(1)
+	defer b.held.Add(-1)
+	if d <= 0 {
+		return true
+	}
+	b.waiting.Add(1)
+	select {
+	case b.slots <- struct{}{}:
+		b.waiting.Add(-1)
+	case <-b.end:
+		b.waiting.Add(-1)
+		return false
+	}
+	defer func() { <-b.slots }()
+	b.mu.Lock()
+	d = time.Duration(float64(d) / b.warmth(time.Now()))
+	b.mu.Unlock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-b.end:
+		return false
+	}
+}
+
+// report answers a probe.
+func (b *Box) report(w http.ResponseWriter) {
+	now := time.Now()
+	b.mu.Lock()
+	for len(b.errs) > 0 && now.Sub(b.errs[0]) > time.Second {
+		b.errs = b.errs[1:]
+	}
+	text := fmt.Sprintf("TEXT eps=%d, queue=%d", len(b.errs), b.waiting.Load())
+	gone := b.draining || b.fallen
+	b.mu.Unlock()
+	if gone {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	io.WriteString(w, text)
+}
+
+// keyOf names what a request does: its class with its Idempotency-Key, or with its X-Request-ID where it has none.
+func keyOf(q *http.Request) (class, key string) {
+	class, _, _ = strings.Cut(strings.TrimPrefix(q.URL.Path, "/"), "/")
+	if key = q.Header.Get("Idempotency-Key"); key == "" {
+		key = q.Header.Get("X-Request-Id")
+	}
+	return class, key
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,182 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"quillfront/internal/engine"
+	"quillfront/policy"
+)
+
+// Fleet is a set of boxes with the memory that they share of what they have executed, and the discovery that lists them.
+type Fleet struct {
+	classes map[string]policy.Class
+	Disco   *Discovery
+
+	mu       sync.Mutex
+	boxes    []*Box
+	seeds    uint64
+	executed map[string]*execution // by class and key, at most mostKept
+	dropped  int                   // repeats that were known and so not executed again
+}
+
+// execution is what became of one key.
+type execution struct {
+	class string
+	times int
+	zone  map[string]time.Time // of the latest one there
+	cell  map[int]time.Time
+	last  time.Time
+}
+
+// NewFleet starts a fleet without boxes, whose discovery tells of changes after lag.
+func NewFleet(classes []policy.Class, seed uint64, lag time.Duration) (*Fleet, error) {
+	d, err := newDiscovery(lag)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{classes: map[string]policy.Class{}, Disco: d, seeds: seed, executed: map[string]*execution{}}
+	for _, c := range classes {
+		f.classes[c.Name] = c
+	}
+	return f, nil
+}
+
+// Start starts a box and lists it.
+func (f *Fleet) Start(cfg BoxConfig) (*Box, error) {
+	f.mu.Lock()
+	f.seeds++
+	seed := f.seeds
+	f.mu.Unlock()
+	b, err := startBox(cfg, f, seed)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.boxes = append(f.boxes, b)
+	f.mu.Unlock()
+	f.Disco.Tell(entryOf(b, policy.Ready), nil)
+	return b, nil
+}
+
+func entryOf(b *Box, state policy.ServerState) engine.Server {
+	s := engine.Server{
+		ID: policy.ServerID(b.cfg.ID), Addr: b.Addr(), State: state, Zone: b.cfg.Zone, Cell: b.cfg.Cell, Weight: 1,
+	}
+	if !b.born.IsZero() {
+		s.BornMs = b.born.UnixMilli()
+	}
+	return s
+}
+
+// Drain makes a box finish what it has and take nothing new, and tells discovery.
+func (f *Fleet) Drain(b *Box) {
+	b.drain()
+	f.Disco.Tell(entryOf(b, policy.Draining), func() { b.told(time.Now()) })
+}
+
+// Leave tells discovery to list a box as draining although it still serves whatever comes: what a box gets after the grace
+// then shows as late rather than being turned away.
+func (f *Fleet) Leave(b *Box) {
+	f.Disco.Tell(entryOf(b, policy.Draining), func() { b.told(time.Now()) })
+}
+
+// Kill ends a box, which discovery then lists as gone.
+func (f *Fleet) Kill(b *Box) {
+	b.close()
+	f.Disco.Tell(entryOf(b, policy.Gone), nil)
+}
+
+// Close ends all boxes and the discovery.
+func (f *Fleet) Close() {
+	f.Disco.Close()
+	f.mu.Lock()
+	boxes := slices.Clone(f.boxes)
+	f.mu.Unlock()
+	for _, b := range boxes {
+		b.close()
+	}
+}
+
+// Boxes returns all boxes that were ever started.
+func (f *Fleet) Boxes() []*Box {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.boxes)
+}
+
+// execute notes that b has executed q, unless the memory of its group still knows the key.
+func (f *Fleet) execute(b *Box, q *http.Request, now time.Time) {
+	name, key := keyOf(q)
+	c := f.classes[name]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := name + "\x00" + key
+	e := f.executed[id]
+	if e == nil {
+		if len(f.executed) >= mostKept {
+			return
+		}
+		e = &execution{class: name, zone: map[string]time.Time{}, cell: map[int]time.Time{}}
+		f.executed[id] = e
+	}
+	known := e.last
+	switch c.Group {
+	case policy.GroupZone:
+		known = e.zone[b.cfg.Zone]
+	case policy.GroupCell:
+		known = e.cell[b.cfg.Cell]
+	}
+	if c.Effect == policy.Keyed && !known.IsZero() && now.Sub(known) <= c.KeyTTL {
+		f.dropped++
+		return
+	}
+	e.times++
+	e.last, e.zone[b.cfg.Zone], e.cell[b.cfg.Cell] = now, now, now
+}
+
+// Executions returns how often the effect of a key took place.
+func (f *Fleet) Executions(class, key string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e := f.executed[class+"\x00"+key]; e != nil {
+		return e.times
+	}
+	return 0
+}
+
+// Effects is what the fleet has executed.
+type Effects struct {
+	Keys       int // different keys of classes that are not safe to repeat
+	Duplicates int // executions of such a key beyond the first
+	Dropped    int // repeats that the boxes knew
+}
+
+// Effects returns the present counts.
+func (f *Fleet) Effects() Effects {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := Effects{Dropped: f.dropped}
+	for _, e := range f.executed {
+		if f.classes[e.class].Effect != policy.Safe {
+			s.Keys++
+			s.Duplicates += e.times - 1
+		}
+	}
+	return s
+}
+
+// String lists the boxes by name with the requests that each has had.
+func (f *Fleet) String() string {
+	boxes := f.Boxes()
+	slices.SortFunc(boxes, func(a, b *Box) int { return cmp.Compare(a.cfg.ID, b.cfg.ID) })
+	text := ""
+	for _, b := range boxes {
+		text += fmt.Sprintf("%s %d\n", b.cfg.ID, b.requests.Load())
+	}
+	return text
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,82 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"quillfront/internal/discovery"
+	"quillfront/internal/engine"
+	"quillfront/policy"
+)
+
+// Platform is what the stand-in for the platform tells a sidecar. Zero values take the defaults.
+type Platform struct {
+	Listen    string // "127.0.0.1:0"
+	Discovery string // "127.0.0.1:1", where nobody listens
+	Seed      uint64
+	Sockets   int // 512
+	Known     *engine.List
+	Zone      string
+	Classes   []policy.Class
+	Attempts  int           // 3
+	AskEvery  time.Duration // 1 s
+	Pushed    bool          // the list is never asked for
+	NoProbes  bool
+	Inline    bool // answers carry load reports
+	Ramp      time.Duration
+}
+
+// object is a JSON object.
+type object = map[string]any
+
+// JSON returns the platform's configuration file.
+func (p Platform) JSON() []byte {
+	effects := map[policy.Effect]string{policy.Safe: "read_like", policy.Keyed: "idempotency_key", policy.Unsafe: "non_idempotent"}
+	groups := map[policy.Group]string{policy.GroupAll: "all", policy.GroupZone: "zone", policy.GroupCell: "cell"}
+	var classes []object
+	for _, c := range p.Classes {
+		classes = append(classes, object{
+			"Name": c.Name, "Effect": effects[c.Effect], "Group": groups[c.Group], "KeyTtlUs": c.KeyTTL.Microseconds(),
+			"AimUs": c.Aim.Microseconds(), "DeadlineUs": c.Deadline.Microseconds(), "Worth": c.Worth, "LateShare": c.LateShare,
+		})
+	}
+	mode, via := "on_request", "on_probe"
+	if p.Pushed {
+		mode = "pushed"
+	}
+	if p.Inline {
+		via = "inline"
+	}
+	file := object{
+		"name": "standin", "listen": orElse(p.Listen, "127.0.0.1:0"), "discovery": orElse(p.Discovery, "127.0.0.1:1"),
+		"seed":   fmt.Sprintf("%x", p.Seed),
+		"limits": object{"cores": 1, "memory_mb": 128, "sockets": orElse(p.Sockets, 512)},
+		"settings": object{
+			"GroupSize": 1, "Ordinal": 0, "Zone": p.Zone, "MembershipMode": mode, "TickUs": 1000,
+			"Limits": object{
+				"Cancelling": true, "MayDuplicate": true, "Probes": !p.NoProbes, "RetryAfter": true, "SendCap": orElse(p.Attempts, 3),
+				"DialTimeoutUs": 250_000, "ConnIdleUs": 15_000_000, "MaxRetryAfterUs": 1_000_000,
+			},
+			"RequestClasses": classes,
+			"Safety": object{
+				"AskEveryUs": orElse(p.AskEvery, time.Second).Microseconds(), "GraceToAnswerUs": 20_000, "ColdFrom": 0.31,
+				"RampTimeUs": p.Ramp.Microseconds(),
+			},
+			"Tariffs":   object{"Probe": 0.05},
+			"Telemetry": object{"Fields": []string{"eps", "queue"}, "Via": via},
+		},
+	}
+	if p.Known != nil {
+		known, err := discovery.Format(*p.Known)
+		if err != nil {
+			panic(err) // a list that cannot be written is a mistake of the caller's
+		}
+		file["known"] = json.RawMessage(known)
+	}
+	text, err := json.Marshal(file)
+	if err != nil {
+		panic(err) // as above: a figure that is no number
+	}
+	return text
+}
--- /dev/null
+++ b/snapshot.go
@@ -0,0 +1,63 @@
+package quillfront
+
+import (
+	"math"
+	"time"
+
+	"quillfront/policy"
+)
+
+// Snapshot is what a Balancer holds and believes at one moment, for debugging. It can be written as JSON.
+type Snapshot struct {
+	Open        int    // requests without an answer
+	Taken       uint64 // requests so far
+	Probing     int    // probes under way
+	Waiting     int    // requests that wait for a report
+	Connections int    // to servers, idle ones too
+	Watching    bool   // the source is being watched
+	Threshold   float64
+	ReadySet    int
+	Servers     []ServerSnapshot // in the order of their IDs
+}
+
+// ServerSnapshot is what a Balancer believes of one server.
+type ServerSnapshot struct {
+	ID, Addr, Zone string
+	Cell           int
+	State          State
+	Queue          float64       // latest reported; -1: none was
+	Marked         bool          // by the paper's rule: its reported queue was at most the threshold, and no send has spent it
+	InReadySet     bool          // one of those that this Balancer prefers
+	Out            int           // attempts of this Balancer in flight
+	Failures       int           // in a row
+	Ejected        time.Duration // how much longer it is left out; 0: it is not
+	Warmth         float64       // least share of its capacity, 0 to 1
+	Expected       time.Duration // delay to expect of an answer
+}
+
+// Snapshot returns what b holds and believes now.
+func (b *Balancer) Snapshot() Snapshot {
+	e := b.engine.Snapshot()
+	used, _ := b.sockets.InUse()
+	s := Snapshot{
+		Open: e.Open, Taken: e.Taken, Probing: e.Probing, Waiting: e.Beliefs.Held, Connections: used,
+		Watching: e.Watching, Threshold: e.Beliefs.Threshold, ReadySet: e.Beliefs.ReadySet,
+		Servers: make([]ServerSnapshot, len(e.Servers)),
+	}
+	if math.IsInf(s.Threshold, 1) {
+		s.Threshold = -1
+	}
+	for i, t := range e.Servers {
+		s.Servers[i] = ServerSnapshot{
+			ID: string(t.ID), Addr: t.Addr, Zone: t.Zone, Cell: t.Cell, Queue: t.Queue, Marked: t.Marked,
+			InReadySet: t.InSet, Out: t.Out, Failures: t.Fails, Ejected: t.Ejected, Warmth: t.Warmth, Expected: t.Expected,
+		}
+		if t.State == policy.Draining {
+			s.Servers[i].State = Draining
+		}
+		if !t.Reported || math.IsInf(t.Queue, 0) {
+			s.Servers[i].Queue = -1
+		}
+	}
+	return s
+}
