--- /dev/null
+++ b/balancer_test.go
@@ -0,0 +1,706 @@
+package quillfront
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"quillfront/internal/engine"
+	"quillfront/internal/standin"
+	"quillfront/policy"
+)
+
+// patience is how long a test waits for what must happen. It bounds a failure; no verdict hangs on it.
+const patience = 20 * time.Second
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// spy is the real module, and notes the outcomes and withdrawals that reach it.
+type spy struct {
+	*policy.Balancer
+	mu        sync.Mutex
+	outcomes  []policy.Outcome
+	withdrawn int
+}
+
+func (s *spy) Outcome(now policy.Time, o policy.Outcome, act policy.Actions) {
+	s.mu.Lock()
+	s.outcomes = append(s.outcomes, o)
+	s.mu.Unlock()
+	s.Balancer.Outcome(now, o, act)
+}
+
+func (s *spy) Withdrawn(now policy.Time, id policy.RequestID, act policy.Actions) {
+	s.mu.Lock()
+	s.withdrawn++
+	s.mu.Unlock()
+	s.Balancer.Withdrawn(now, id, act)
+}
+
+func (s *spy) seen() (outcomes []policy.Outcome, withdrawn int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]policy.Outcome(nil), s.outcomes...), s.withdrawn
+}
+
+var testClasses = []Class{
+	{Name: "read", Effect: Safe, Aim: 9 * time.Second, Deadline: 10 * time.Second},
+	{Name: "order", Effect: Keyed, Aim: 9 * time.Second, Deadline: 10 * time.Second, KeyWindow: time.Second},
+	{Name: "pay", Effect: Unsafe, Aim: 9 * time.Second, Deadline: 10 * time.Second},
+}
+
+// fleet starts boxes that remember keys as testClasses has it.
+func fleet(t testing.TB, boxes ...standin.BoxConfig) (*standin.Fleet, []Server) {
+	t.Helper()
+	var classes []policy.Class
+	for i, c := range testClasses {
+		p, err := c.convert(fmt.Sprint(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		classes = append(classes, p)
+	}
+	f, err := standin.NewFleet(classes, 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	var servers []Server
+	for i, cfg := range boxes {
+		if cfg.ID == "" {
+			cfg.ID = fmt.Sprintf("box-%d", i)
+		}
+		b, err := f.Start(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		servers = append(servers, Server{ID: b.ID(), Addr: b.Addr()})
+	}
+	return f, servers
+}
+
+// balancer starts one that ends with the test, and notes what its module is told.
+func balancer(t testing.TB, source Source, change ...func(*Config)) (*Balancer, *spy) {
+	t.Helper()
+	c := Config{Classes: testClasses, Servers: source}
+	for _, f := range change {
+		f(&c)
+	}
+	p, err := c.plan()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := policy.New(p.settings.Config, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &spy{Balancer: m}
+	b, err := New(c, func(o *options) { o.module = s })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b, s
+}
+
+var lastID atomic.Int64
+
+func post(ctx context.Context, class, key string, body io.Reader) *http.Request {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://fleet/"+class+"/k", body)
+	if err != nil {
+		panic(err)
+	}
+	if key != "" {
+		q.Header.Set("Idempotency-Key", key)
+	}
+	q.Header.Set("X-Request-ID", fmt.Sprintf("t%d", lastID.Add(1)))
+	return q
+}
+
+func get(path string) *http.Request {
+	q, err := http.NewRequest(http.MethodGet, "http://fleet"+path, nil)
+	if err != nil {
+		panic(err)
+	}
+	return q
+}
+
+// body reads an answer.
+func body(t testing.TB, resp *http.Response, err error) string {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestConfigErrors: each wrong field is named.
+func TestConfigErrors(t *testing.T) {
+	good := Config{Classes: testClasses, Servers: Static(Server{Addr: "127.0.0.1:1"})}
+	class := func(change func(*Class)) func(*Config) {
+		return func(c *Config) {
+			c.Classes = append([]Class(nil), testClasses...)
+			change(&c.Classes[1])
+		}
+	}
+	for _, tt := range []struct {
+		field  string
+		change func(*Config)
+	}{
+		{"Classes", func(c *Config) { c.Classes = nil }},
+		{"Classes[1].Name", class(func(c *Class) { c.Name = "" })},
+		{"Classes[1].Name", class(func(c *Class) { c.Name = "a/b" })},
+		{"Classes[1].Name", class(func(c *Class) { c.Name = "read" })},
+		{"Classes[1].Effect", class(func(c *Class) { c.Effect = 0 })},
+		{"Classes[1].Effect", class(func(c *Class) { c.Effect = 9 })},
+		{"Classes[1].Group", class(func(c *Class) { c.Group = -1 })},
+		{"Classes[1].Aim", class(func(c *Class) { c.Aim = 0 })},
+		{"Classes[1].Deadline", class(func(c *Class) { c.Deadline = time.Second })},
+		{"Classes[1].Worth", class(func(c *Class) { c.Worth = -1 })},
+		{"Classes[1].LateShare", class(func(c *Class) { c.LateShare = 1.1 })},
+		{"Classes[1].KeyWindow", class(func(c *Class) { c.KeyWindow = 0 })},
+		{"Classes[1].KeyWindow", class(func(c *Class) { c.Effect = Safe })},
+		{"Servers", func(c *Config) { c.Servers = nil }},
+		{"Servers", func(c *Config) { c.Servers = Func(nil) }},
+		{"Servers", func(c *Config) { c.Servers = Discovery("nowhere") }},
+		{"Servers[1].Addr", func(c *Config) { c.Servers = Static(Server{Addr: "127.0.0.1:1"}, Server{ID: "a"}) }},
+		{"Servers[0].Addr", func(c *Config) { c.Servers = Static(Server{Addr: "127.0.0.1"}) }},
+		{"Servers[0].State", func(c *Config) { c.Servers = Static(Server{Addr: "127.0.0.1:1", State: 7}) }},
+		{"Servers[1].ID", func(c *Config) { c.Servers = Static(Server{Addr: "127.0.0.1:1"}, Server{Addr: "127.0.0.1:1"}) }},
+		{"Instance", func(c *Config) { c.Instance = 1 }},
+		{"Instances", func(c *Config) { c.Instances = -1 }},
+		{"Limits.Attempts", func(c *Config) { c.Limits.Attempts = -1 }},
+		{"Limits.Requests", func(c *Config) { c.Limits.Requests = -1 }},
+		{"Limits.Connections", func(c *Config) { c.Limits.Connections = 3 }},
+		{"Limits.BodyBytes", func(c *Config) { c.Limits.BodyBytes = 100 }},
+		{"Limits.DialTimeout", func(c *Config) { c.Limits.DialTimeout = -1 }},
+		{"Limits.IdleTimeout", func(c *Config) { c.Limits.IdleTimeout = 2 * time.Hour }},
+		{"Limits.RetryAfter", func(c *Config) { c.Limits.RetryAfter = -1 }},
+		{"Cold.From", func(c *Config) { c.Cold.From = 2 }},
+		{"Reports", func(c *Config) { c.Reports = 5 }},
+		{"ReportFields[0]", func(c *Config) { c.ReportFields = []string{"mood"} }},
+	} {
+		c := good
+		tt.change(&c)
+		b, err := New(c)
+		var field *FieldError
+		if !errors.As(err, &field) || field.Field != tt.field {
+			t.Errorf("error %v, want one that names %s", err, tt.field)
+		}
+		if b != nil {
+			b.Close()
+		}
+	}
+	b, err := New(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Close()
+	b.Close()
+	for text, want := range map[string]string{
+		"{": "JSON", `{"limits":{"sockets":3}}`: "limits.sockets", "{}": "settings",
+		string(standin.Platform{Attempts: -1}.JSON()): "Limits.SendCap",
+	} {
+		if _, err := NewFromJSON([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%.40s: error %v, want one that names %s", text, err, want)
+		}
+	}
+}
+
+// TestBadRequests: what cannot be served gives a typed error, and nothing is sent.
+func TestBadRequests(t *testing.T) {
+	f, servers := fleet(t, standin.BoxConfig{})
+	b, _ := balancer(t, Static(servers...))
+	rt := b.RoundTripper()
+	_, err := rt.RoundTrip(get("/novel/k"))
+	if !errors.Is(err, ErrUnknownClass) {
+		t.Errorf("unknown class: %v", err)
+	}
+	for name, q := range map[string]*http.Request{
+		"no URL":                 {Method: http.MethodGet},
+		"no key":                 post(t.Context(), "order", "", nil),
+		"a host that cannot be":  {Method: http.MethodGet, URL: get("/read").URL, Host: "a\r\nX: y"},
+		"a method of a sentence": {Method: "GET / HTTP/1.1\r\n", URL: get("/read").URL},
+	} {
+		var request *RequestError
+		if _, err := rt.RoundTrip(q); !errors.As(err, &request) {
+			t.Errorf("%s: %v, want a RequestError", name, err)
+		}
+	}
+	short := post(t.Context(), "pay", "", strings.NewReader("short"))
+	short.ContentLength = 9
+	long := post(t.Context(), "pay", "", strings.NewReader("longer than that"))
+	long.ContentLength = 3
+	for _, q := range []*http.Request{short, long} {
+		var request *RequestError
+		if _, err := rt.RoundTrip(q); !errors.As(err, &request) {
+			t.Errorf("a body of another length: %v", err)
+		}
+	}
+	broken := errors.New("the disk is gone")
+	q := post(t.Context(), "pay", "", io.MultiReader(strings.NewReader("half"), errReader{broken}))
+	if _, err := rt.RoundTrip(q); !errors.Is(err, broken) {
+		t.Errorf("a body that breaks: %v", err)
+	}
+	if n := f.Boxes()[0].Counts().Requests; n > 0 {
+		t.Errorf("%d requests were sent", n)
+	}
+	// No body where one may be is none.
+	if got := body2(t, rt, post(t.Context(), "pay", "", nil)); got != "POST /pay/k 0" {
+		t.Errorf("a nil body: %q", got)
+	}
+	// Lines that would end a line are not passed on.
+	q = get("/read/k")
+	q.Header["X-Evil"] = []string{"a\r\nX-Request-Id: other"}
+	if got := body2(t, rt, q); got != "GET /read/k 0" {
+		t.Errorf("%q", got)
+	}
+	b.Close()
+	if _, err := rt.RoundTrip(get("/read/k")); !errors.Is(err, ErrClosed) {
+		t.Errorf("closed: %v", err)
+	}
+}
+
+func body2(t testing.TB, rt http.RoundTripper, q *http.Request) string {
+	t.Helper()
+	resp, err := rt.RoundTrip(q)
+	return body(t, resp, err)
+}
+
+type errReader struct{ error }
+
+func (e errReader) Read([]byte) (int, error) { return 0, e.error }
+
+// TestOwnTimeouts: the application's own end cuts across ours before the first send, while an attempt is out, and while
+// the answer is being read. There is one end and no further send, the attempt's outcome reaches the module, and nothing of
+// the request is left.
+func TestOwnTimeouts(t *testing.T) {
+	stall := func(t *testing.T, text string) (Server, *atomic.Int64) {
+		var sent atomic.Int64
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var conns sync.WaitGroup
+		conns.Go(func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				conns.Go(func() {
+					defer c.Close()
+					buf := make([]byte, 4096)
+					if n, _ := c.Read(buf); n > 0 && !bytes.HasPrefix(buf, []byte("GET /load")) {
+						sent.Add(1)
+						io.WriteString(c, text)
+					}
+					io.Copy(io.Discard, c) // until the attempt is given up
+				})
+			}
+		})
+		t.Cleanup(func() { ln.Close(); conns.Wait() })
+		return Server{Addr: ln.Addr().String()}, &sent
+	}
+	for _, tt := range []struct {
+		name   string
+		answer string
+		listed bool
+		sent   int64
+	}{
+		{"before the first send", "", false, 0},
+		{"while the attempt is out", "", true, 1},
+		{"while the answer is being read", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal", true, 1},
+	} {
+		for _, class := range []string{"read", "order", "pay"} {
+			for _, how := range []string{"cancelled", "timed out"} {
+				t.Run(tt.name+", "+class+", "+how, func(t *testing.T) {
+					s, sent := stall(t, tt.answer)
+					source := Static(s)
+					if !tt.listed {
+						source = Push(nil)
+					}
+					b, m := balancer(t, source, func(c *Config) { c.Reports = Never })
+					cause := errors.New("the app has had enough")
+					ctx, cancel := context.WithCancelCause(t.Context())
+					defer cancel(nil)
+					want := cause
+					if how == "timed out" {
+						var stop context.CancelFunc
+						ctx, stop = context.WithTimeout(ctx, 100*time.Millisecond)
+						defer stop()
+						want = context.DeadlineExceeded
+					}
+					over := make(chan error, 1)
+					go func() {
+						q := post(ctx, class, "key", strings.NewReader("x"))
+						if class == "read" {
+							q = get("/read/k").WithContext(ctx)
+						}
+						_, err := b.RoundTripper().RoundTrip(q)
+						over <- err
+					}()
+					if how == "cancelled" {
+						eventually(t, "it is on its way", func() bool { return b.Snapshot().Taken == 1 && sent.Load() == tt.sent })
+						cancel(cause)
+					}
+					if err := <-over; !errors.Is(err, want) {
+						// Both ends may come at one moment: what the balancer says then promises nothing either.
+						if f := (*FailedError)(nil); how == "cancelled" || !errors.As(err, &f) {
+							t.Errorf("it ends with %v, want %v", err, want)
+						}
+					}
+					eventually(t, "nothing is left of it", func() bool { return b.engine.Snapshot().Held == 0 })
+					outcomes, withdrawn := m.seen()
+					if int64(len(outcomes)) != sent.Load() || sent.Load() > tt.sent || how == "cancelled" && withdrawn != 1 {
+						t.Errorf("%d sends, %d outcomes, %d withdrawals; want %d sends", sent.Load(), len(outcomes), withdrawn, tt.sent)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestClientsRetries: what http.Client does by itself makes no second effect: it follows no redirect, and a kept
+// connection that breaks is not tried again for a request that may have run, though its body could be had again.
+func TestClientsRetries(t *testing.T) {
+	var sent atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/load" {
+			return
+		}
+		switch sent.Add(1) {
+		case 1:
+			http.Redirect(w, q, "/pay/elsewhere", http.StatusTemporaryRedirect)
+		case 2:
+			io.WriteString(w, "ok") // so that the connection is kept
+		default:
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer srv.Close()
+	b, _ := balancer(t, Static(Server{Addr: srv.Listener.Addr().String()}), func(c *Config) { c.Reports = Never })
+	client := &http.Client{Transport: b.RoundTripper()}
+	for i, want := range []bool{false, true, false} {
+		q := post(t.Context(), "pay", "", bytes.NewReader([]byte("body"))) // http.NewRequest sets GetBody
+		resp, err := client.Do(q)
+		if (err == nil) != want {
+			t.Errorf("request %d: %v", i, err)
+		}
+		var failed *FailedError
+		if err != nil && !errors.As(err, &failed) {
+			t.Errorf("request %d: %v, want a FailedError", i, err)
+		}
+		if err == nil {
+			body(t, resp, err)
+		}
+		if n := sent.Load(); n != int64(i+1) {
+			t.Errorf("request %d: sent %d times", i, n-int64(i))
+		}
+		time.Sleep(600 * time.Millisecond) // an error leaves the one server out for half a second
+	}
+}
+
+// TestRestartForgets shows what the documentation says of a restart: nothing is known of the requests before, so that
+// the servers' own memory decides whether an effect takes place again.
+func TestRestartForgets(t *testing.T) {
+	f, servers := fleet(t, standin.BoxConfig{})
+	order := func() {
+		b, _ := balancer(t, Static(servers...))
+		defer b.Close()
+		if got := body2(t, b.RoundTripper(), post(t.Context(), "order", "the-key", strings.NewReader("x"))); got != "POST /order/k 1" {
+			t.Errorf("%q", got)
+		}
+	}
+	order()
+	order()
+	if n := f.Executions("order", "the-key"); n != 1 {
+		t.Errorf("executed %d times within the servers' memory, want 1", n)
+	}
+	time.Sleep(testClasses[1].KeyWindow + 100*time.Millisecond)
+	order()
+	if n := f.Executions("order", "the-key"); n != 2 {
+		t.Errorf("executed %d times beyond the servers' memory; if 1, the documentation claims too little", n)
+	}
+}
+
+// TestTwoBalancers: two in one process share nothing.
+func TestTwoBalancers(t *testing.T) {
+	fa, a := fleet(t, standin.BoxConfig{ID: "a"})
+	fb, b := fleet(t, standin.BoxConfig{ID: "b"})
+	ba, _ := balancer(t, Static(a...))
+	bb, _ := balancer(t, Static(b...))
+	for range 5 {
+		body2(t, ba.RoundTripper(), get("/read/k"))
+	}
+	ba.Close()
+	body2(t, bb.RoundTripper(), get("/read/k"))
+	if x, y := fa.Boxes()[0].Counts().Requests, fb.Boxes()[0].Counts().Requests; x != 5 || y != 1 {
+		t.Errorf("%d and %d requests, want 5 and 1", x, y)
+	}
+}
+
+// TestShutdown: what was taken is answered, what comes later is turned away, and nothing is left.
+func TestShutdown(t *testing.T) {
+	gate := make(chan struct{})
+	f, servers := fleet(t, standin.BoxConfig{Script: func(int, *http.Request) standin.Fault { <-gate; return standin.None }})
+	b, _ := balancer(t, Static(servers...))
+	over := make(chan error, 1)
+	go func() {
+		resp, err := b.RoundTripper().RoundTrip(get("/read/k"))
+		if err == nil {
+			resp.Body.Close()
+		}
+		over <- err
+	}()
+	eventually(t, "it is out", func() bool { return f.Boxes()[0].Counts().Requests == 1 })
+	down := make(chan error, 1)
+	go func() { down <- b.Shutdown(t.Context()) }()
+	eventually(t, "no more is taken", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		_, err := b.RoundTripper().RoundTrip(get("/read/k").WithContext(ctx))
+		return errors.Is(err, ErrClosed)
+	})
+	w := httptest.NewRecorder()
+	q := httptest.NewRequest(http.MethodGet, "/read/k", nil)
+	q.Header.Set("X-Request-ID", "late")
+	if b.Handler().ServeHTTP(w, q); w.Code != http.StatusServiceUnavailable {
+		t.Errorf("the handler answers %d", w.Code)
+	}
+	select {
+	case err := <-down:
+		t.Fatalf("it ended with a request open: %v", err)
+	default:
+	}
+	close(gate)
+	if err := <-over; err != nil {
+		t.Errorf("the request that was taken: %v", err)
+	}
+	if err := <-down; err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+	if used, _ := b.sockets.InUse(); used != 0 {
+		t.Errorf("%d descriptors are left", used)
+	}
+}
+
+// TestCloseDuringRequests: they end at once, each once, and say that nothing is promised.
+func TestCloseDuringRequests(t *testing.T) {
+	f, servers := fleet(t, standin.BoxConfig{Cores: 50, Script: func(int, *http.Request) standin.Fault { return standin.Lose }})
+	b, m := balancer(t, Static(servers...))
+	const many = 20
+	over := make(chan error, 2*many)
+	for range many {
+		go func() {
+			_, err := b.RoundTripper().RoundTrip(post(context.Background(), "pay", "", strings.NewReader("x")))
+			over <- err
+		}()
+	}
+	eventually(t, "all are out", func() bool { return f.Boxes()[0].Counts().Requests == many })
+	b.Close()
+	for range many {
+		if err := <-over; !errors.Is(err, ErrClosed) {
+			t.Errorf("it ends with %v", err)
+		}
+	}
+	if outcomes, _ := m.seen(); len(outcomes) != many || f.Boxes()[0].Counts().Requests != many {
+		t.Errorf("%d outcomes of %d sends", len(outcomes), f.Boxes()[0].Counts().Requests)
+	}
+	if used, _ := b.sockets.InUse(); used != 0 || b.engine.Snapshot().Held != 0 {
+		t.Errorf("%d descriptors and %d requests are left", used, b.engine.Snapshot().Held)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := b.Shutdown(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		t.Errorf("Shutdown after Close: %v", err)
+	}
+}
+
+// TestLists: a pushed list becomes empty and full again, a wrong one is dropped whole, and what drains gets nothing.
+func TestLists(t *testing.T) {
+	f, servers := fleet(t, standin.BoxConfig{}, standin.BoxConfig{})
+	errs := make(chan error, 10)
+	lists := make(chan []Server)
+	b, _ := balancer(t, Func(func(ctx context.Context, update func([]Server) error) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case l := <-lists:
+				errs <- update(l)
+			}
+		}
+	}))
+	tell := func(l ...Server) error { lists <- l; return <-errs }
+	first := make(chan string, 1)
+	go func() { first <- body2(t, b.RoundTripper(), get("/read/k")) }()
+	eventually(t, "it waits for a list", func() bool { return b.Snapshot().Open == 1 })
+	if err := tell(servers[:1]...); err != nil {
+		t.Error(err)
+	}
+	if got := <-first; got != "GET /read/k 0" {
+		t.Errorf("%q", got)
+	}
+	if err := tell(servers[1], Server{ID: "no address"}); err == nil || !strings.Contains(err.Error(), "Servers[1].Addr") {
+		t.Errorf("a list with a wrong entry: %v", err)
+	}
+	if s := b.Snapshot().Servers; len(s) != 1 || s[0].ID != "box-0" {
+		t.Errorf("servers %+v after a wrong list", s)
+	}
+	tell()
+	if n := len(b.Snapshot().Servers); n != 0 {
+		t.Errorf("%d servers on an empty list", n)
+	}
+	go func() { first <- body2(t, b.RoundTripper(), get("/read/k")) }()
+	eventually(t, "it waits", func() bool { return b.Snapshot().Open == 1 })
+	servers[0].State = Draining
+	tell(servers...)
+	<-first
+	for range 20 {
+		body2(t, b.RoundTripper(), get("/read/k"))
+	}
+	if x, y := f.Boxes()[0].Counts().Requests, f.Boxes()[1].Counts().Requests; x != 1 || y != 21 {
+		t.Errorf("%d and %d requests, want 1 before the drain and 21", x, y)
+	}
+	s := b.Snapshot()
+	if s.Servers[0].State != Draining || s.Servers[1].State != Ready || !s.Servers[1].InReadySet {
+		t.Errorf("snapshot %+v", s)
+	}
+	if _, err := json.Marshal(s); err != nil {
+		t.Errorf("a snapshot as JSON: %v", err)
+	}
+}
+
+// TestPushEnds: a channel that is closed leaves the list as it is.
+func TestPushEnds(t *testing.T) {
+	_, servers := fleet(t, standin.BoxConfig{})
+	lists := make(chan []Server, 1)
+	lists <- servers
+	close(lists)
+	b, _ := balancer(t, Push(lists))
+	for range 3 {
+		body2(t, b.RoundTripper(), get("/read/k"))
+	}
+	if !b.Snapshot().Watching {
+		t.Error("it asks again and again")
+	}
+}
+
+// TestLimits: one request over the limit is refused at once.
+func TestLimits(t *testing.T) {
+	f, servers := fleet(t, standin.BoxConfig{Script: func(int, *http.Request) standin.Fault { return standin.Lose }})
+	b, _ := balancer(t, Static(servers...), func(c *Config) { c.Limits.Requests = 1 })
+	ctx, cancel := context.WithCancel(t.Context())
+	over := make(chan error, 1)
+	go func() {
+		_, err := b.RoundTripper().RoundTrip(get("/read/k").WithContext(ctx))
+		over <- err
+	}()
+	eventually(t, "the one place is taken", func() bool { return f.Boxes()[0].Counts().Requests == 1 })
+	var refused *RefusedError
+	if _, err := b.RoundTripper().RoundTrip(get("/read/k")); !errors.As(err, &refused) {
+		t.Errorf("%v, want a refusal", err)
+	}
+	cancel()
+	<-over
+}
+
+// TestMiddleware: routes of the fleet go there, all others are untouched, and panics on either side leave nothing behind.
+func TestMiddleware(t *testing.T) {
+	_, servers := fleet(t, standin.BoxConfig{})
+	b, _ := balancer(t, Static(servers...), func(c *Config) { c.Limits.BodyBytes = 64 << 10 })
+	mux := http.NewServeMux()
+	mux.HandleFunc("/own/", func(w http.ResponseWriter, q *http.Request) { io.WriteString(w, "own "+q.URL.Path) })
+	mux.HandleFunc("/panics", func(http.ResponseWriter, *http.Request) { panic("the app's") })
+	h := b.Middleware(nil)(mux)
+	ask := func(method, path string, body io.Reader) (w *httptest.ResponseRecorder, panicked any) {
+		w = httptest.NewRecorder()
+		defer func() { panicked = recover() }()
+		q := httptest.NewRequest(method, path, body)
+		q.Header.Set("X-Request-ID", fmt.Sprintf("m%d", lastID.Add(1)))
+		h.ServeHTTP(w, q)
+		return w, nil
+	}
+	if w, _ := ask("GET", "/read/a%2Fb?x=1", nil); w.Code != 200 || w.Body.String() != "GET /read/a/b 0" {
+		t.Errorf("the fleet: %d %q", w.Code, w.Body)
+	}
+	if w, _ := ask("GET", "/own/x", nil); w.Code != 200 || w.Body.String() != "own /own/x" {
+		t.Errorf("the app: %d %q", w.Code, w.Body)
+	}
+	if _, p := ask("GET", "/panics", nil); p != "the app's" {
+		t.Errorf("the app's panic came out as %v", p)
+	}
+	for range 3 { // the room for bodies is that of one: a second would wait for ever were it not given back
+		if _, p := ask("POST", "/pay/k", panicking{}); p != "the body's" {
+			t.Errorf("the body's panic came out as %v", p)
+		}
+	}
+	if w, _ := ask("POST", "/pay/k", strings.NewReader(strings.Repeat("x", 64<<10))); w.Code != 200 {
+		t.Errorf("after the panics: %d %s", w.Code, w.Body)
+	}
+	if s := b.Snapshot(); s.Open != 0 {
+		t.Errorf("%d requests are left open", s.Open)
+	}
+	stripped := http.StripPrefix("/fleet", b.Handler())
+	w := httptest.NewRecorder()
+	q := httptest.NewRequest("GET", "/fleet/read/k?y=2", nil)
+	q.Header.Set("X-Request-ID", "stripped")
+	if stripped.ServeHTTP(w, q); w.Body.String() != "GET /read/k 0" {
+		t.Errorf("behind a prefix: %d %q", w.Code, w.Body)
+	}
+}
+
+type panicking struct{}
+
+func (panicking) Read([]byte) (int, error) { panic("the body's") }
+
+// TestDescriptors: connections that come and go give their descriptors back, counted by the system.
+func TestDescriptors(t *testing.T) {
+	open := func() int {
+		list, err := os.ReadDir("/proc/self/fd")
+		if err != nil {
+			t.Skip(err)
+		}
+		return len(list)
+	}
+	f, servers := fleet(t, standin.BoxConfig{}, standin.BoxConfig{})
+	before := open()
+	b, _ := balancer(t, Static(servers...))
+	for range 10 {
+		body2(t, b.RoundTripper(), get("/read/k"))
+	}
+	b.Close()
+	f.Close()
+	eventually(t, "all are given back", func() bool { return open() <= before })
+}
+
+var _ engine.Module = (*spy)(nil)
--- /dev/null
+++ b/cmd/quillfront/conformance_test.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"quillfront"
+	"quillfront/internal/conformance"
+)
+
+// forms are all the forms of the balancer.
+var forms = []struct {
+	name  string
+	start conformance.Start
+}{
+	{"daemon", startDaemon},
+	{"handler", startHandler},
+	{"round tripper", startRoundTripper},
+}
+
+// client returns a client whose connections end with the test.
+func client(t testing.TB) *http.Client {
+	tr := &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}
+	t.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr}
+}
+
+// startDaemon is the daemon as a process of its own, over sockets.
+func startDaemon(t testing.TB, config []byte) conformance.Form {
+	return conformance.HTTPForm{URL: "http://" + start(t, string(config)).addr, Client: client(t)}
+}
+
+func balancer(t testing.TB, config []byte) *quillfront.Balancer {
+	t.Helper()
+	b, err := quillfront.NewFromJSON(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b
+}
+
+// startHandler is the library's handler behind a server of net/http.
+func startHandler(t testing.TB, config []byte) conformance.Form {
+	srv := httptest.NewServer(balancer(t, config).Handler())
+	t.Cleanup(srv.Close)
+	return conformance.HTTPForm{URL: srv.URL, Client: client(t)}
+}
+
+// startRoundTripper is the library in a client of net/http.
+func startRoundTripper(t testing.TB, config []byte) conformance.Form {
+	return tripper{&http.Client{Transport: balancer(t, config).RoundTripper()}}
+}
+
+type tripper struct{ client *http.Client }
+
+// Ask is a method of conformance.Form.
+func (f tripper) Ask(ctx context.Context, q conformance.Ask) conformance.Answer {
+	req, err := q.Request(ctx, "http://fleet")
+	if err != nil {
+		return conformance.Answer{Kind: conformance.Broken, Err: err}
+	}
+	resp, err := f.client.Do(req)
+	var refused *quillfront.RefusedError
+	var failed *quillfront.FailedError
+	var rejected *quillfront.RequestError
+	switch {
+	case err == nil:
+	case errors.As(err, &refused):
+		return conformance.Answer{Kind: conformance.Refused, RetryAfter: refused.RetryAfter}
+	case errors.As(err, &failed):
+		return conformance.Answer{Kind: conformance.Failed}
+	case errors.As(err, &rejected):
+		return conformance.Answer{Kind: conformance.Rejected, Status: rejected.Status}
+	case ctx.Err() != nil:
+		return conformance.Answer{Kind: conformance.Gone}
+	default:
+		return conformance.Answer{Kind: conformance.Broken, Err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return conformance.Answer{Kind: conformance.Broken, Err: err}
+	}
+	return conformance.Answer{Kind: conformance.Served, Body: string(body)}
+}
+
+// TestConformance runs the suite against every form.
+func TestConformance(t *testing.T) {
+	for _, f := range forms {
+		t.Run(f.name, func(t *testing.T) { conformance.Run(t, f.start) })
+	}
+}
+
+// TestSameDecisions: on one scripted run all forms give the same answers and pick the same servers in the same order.
+func TestSameDecisions(t *testing.T) {
+	records := make([]conformance.Record, len(forms))
+	var other conformance.Record
+	t.Run("play", func(t *testing.T) {
+		for i, f := range forms {
+			t.Run(f.name, func(t *testing.T) {
+				t.Parallel()
+				records[i] = conformance.Scripted(t, f.start, 11)
+			})
+		}
+		t.Run("another seed", func(t *testing.T) {
+			t.Parallel()
+			other = conformance.Scripted(t, startRoundTripper, 12)
+		})
+	})
+	if records[0].Diff(other) == "" {
+		t.Error("another seed makes no difference: the comparison shows nothing")
+	}
+	if !records[0].Varied() {
+		t.Errorf("the run shows too little: %v", records[0])
+	}
+	for i, f := range forms[1:] {
+		if diff := records[0].Diff(records[i+1]); diff != "" {
+			t.Errorf("%s and %s: %s", forms[0].name, f.name, diff)
+		}
+	}
+}
+
+var loadTime = flag.Duration("loadtime", 1500*time.Millisecond, "how long TestSameFigures loads each form")
+
+// TestSameFigures: under load the share served of each class is the same within 0.02 and what chance makes of the number
+// asked, 0.8 over its root. Times are told, and judged in no way that a busy machine could change.
+func TestSameFigures(t *testing.T) {
+	var first conformance.Figures
+	for _, f := range forms {
+		got := conformance.Load(t, f.start, *loadTime, 200)
+		for class, c := range got {
+			t.Logf("%s %s: %d asked, %.3f served, median %v", f.name, class, c.Asked, c.Served, c.Median)
+			if first != nil && math.Abs(c.Served-first[class].Served) > 0.02+0.8/math.Sqrt(float64(c.Asked)) {
+				t.Errorf("%s serves %.3f of %s, %s %.3f", f.name, c.Served, class, forms[0].name, first[class].Served)
+			}
+		}
+		if first == nil {
+			first = got
+		}
+	}
+}
--- a/cmd/quillfront/main_test.go
+++ b/cmd/quillfront/main_test.go
@@ -34,7 +34,7 @@
 	log  chan string // lines after the first
 }
 
-func command(t *testing.T, config string) *exec.Cmd {
+func command(t testing.TB, config string) *exec.Cmd {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
@@ -47,7 +47,7 @@
 
 var listens = regexp.MustCompile(`msg=ready .*listen=(\S+)`)
 
-func start(t *testing.T, config string) *process {
+func start(t testing.TB, config string) *process {
 	t.Helper()
 	s := &process{Cmd: command(t, config), log: make(chan string, 1000)}
 	log, err := s.StderrPipe()
--- /dev/null
+++ b/internal/conformance/conformance.go
@@ -0,0 +1,645 @@
+// Package conformance holds the one suite that every form of the balancer must pass: the daemon over sockets, the
+// library's handler and its RoundTripper. It knows a form only by the interface Form, and runs the same against all.
+package conformance
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"quillfront/internal/standin"
+	"quillfront/policy"
+)
+
+// Form is one running form of the balancer. Its methods may be called from many goroutines at once.
+type Form interface {
+	// Ask sends one request and returns what became of it. The request is withdrawn when ctx ends.
+	Ask(ctx context.Context, q Ask) Answer
+}
+
+// Start starts a form by the platform's configuration, until the test ends.
+type Start func(t testing.TB, config []byte) Form
+
+// Ask is one request.
+type Ask struct {
+	Method, Path string
+	Header       map[string]string
+	Body         io.Reader // nil: none. Its length is told if it is a *strings.Reader
+}
+
+// Kind says what became of a request.
+type Kind string
+
+// The kinds.
+const (
+	Served   Kind = "served"
+	Refused  Kind = "refused"
+	Failed   Kind = "failed"
+	Rejected Kind = "rejected" // not usable as it is: nothing was sent for it
+	Gone     Kind = "gone"     // the asker's own time was up, or it left
+	Broken   Kind = "broken"   // no answer at all, which no form may give
+)
+
+// Answer is what became of a request.
+type Answer struct {
+	Kind       Kind
+	Status     int // Rejected: as HTTP has it
+	Body       string
+	RetryAfter time.Duration // Refused
+	Err        error         // Broken
+}
+
+// String is what must be the same of all forms.
+func (a Answer) String() string {
+	switch a.Kind {
+	case Served:
+		return string(a.Kind) + " " + a.Body
+	case Rejected:
+		return string(a.Kind) + " " + strconv.Itoa(a.Status)
+	case Broken:
+		return fmt.Sprintf("broken: %v", a.Err)
+	}
+	return string(a.Kind)
+}
+
+// HTTPForm asks whoever serves HTTP at a URL: the daemon, or a server with the library's handler.
+type HTTPForm struct {
+	URL    string
+	Client *http.Client
+}
+
+// Ask is a method of Form.
+func (f HTTPForm) Ask(ctx context.Context, q Ask) Answer {
+	req, err := q.Request(ctx, f.URL)
+	if err != nil {
+		return Answer{Kind: Broken, Err: err}
+	}
+	resp, err := f.Client.Do(req)
+	if err != nil {
+		if ctx.Err() != nil {
+			return Answer{Kind: Gone}
+		}
+		return Answer{Kind: Broken, Err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Answer{Kind: Broken, Err: err}
+	}
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return Answer{Kind: Served, Body: string(body)}
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+		after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		return Answer{Kind: Refused, RetryAfter: time.Duration(after * float64(time.Second))}
+	case resp.StatusCode/100 == 4:
+		return Answer{Kind: Rejected, Status: resp.StatusCode}
+	}
+	return Answer{Kind: Failed}
+}
+
+// Request is q as net/http has it, to the server at base.
+func (q Ask) Request(ctx context.Context, base string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, q.Method, base+q.Path, q.Body)
+	if err != nil {
+		return nil, err
+	}
+	for name, value := range q.Header {
+		req.Header.Set(name, value)
+	}
+	return req, nil
+}
+
+// Classes are the classes of the suite.
+func Classes() []policy.Class {
+	long := func(c policy.Class) policy.Class {
+		c.Aim, c.Deadline, c.Worth = 9*time.Second, 10*time.Second, 1
+		return c
+	}
+	return []policy.Class{
+		long(policy.Class{Name: "read", Effect: policy.Safe}),
+		long(policy.Class{Name: "order", Effect: policy.Keyed, KeyTTL: 3 * time.Second}),
+		long(policy.Class{Name: "cell", Effect: policy.Keyed, Group: policy.GroupCell, KeyTTL: 12 * time.Second}),
+		long(policy.Class{Name: "pay", Effect: policy.Unsafe}),
+		{Name: "quick", Effect: policy.Safe, Aim: 100 * time.Millisecond, Deadline: 400 * time.Millisecond, Worth: 1},
+	}
+}
+
+// patience bounds a failure; no verdict hangs on it.
+const patience = 20 * time.Second
+
+// Run runs the suite against the form that start makes.
+func Run(t *testing.T, start Start) {
+	t.Run("Rejections", func(t *testing.T) { rejections(t, start) })
+	t.Run("Outcomes", func(t *testing.T) { outcomes(t, start) })
+	t.Run("Refusal", func(t *testing.T) { refusal(t, start) })
+	t.Run("NameOpen", func(t *testing.T) { nameOpen(t, start) })
+	t.Run("ClientLeaves", func(t *testing.T) { clientLeaves(t, start) })
+	t.Run("OwnTimeIsShorter", func(t *testing.T) { ownTime(t, start) })
+	t.Run("Bodies", func(t *testing.T) { bodies(t, start) })
+	t.Run("Drain", func(t *testing.T) { drain(t, start) })
+	t.Run("EmptyAndFullAgain", func(t *testing.T) { emptyAndFull(t, start) })
+	t.Run("Crowd", func(t *testing.T) { crowd(t, start) })
+}
+
+// world is a fleet with a form before it.
+type world struct {
+	Form
+	fleet *standin.Fleet
+	boxes []*standin.Box
+}
+
+// build starts a fleet of boxes and a form whose list is pushed, so that nothing but requests moves its module.
+func build(t testing.TB, start Start, change func(*standin.Platform), boxes ...standin.BoxConfig) *world {
+	t.Helper()
+	f, err := standin.NewFleet(Classes(), 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	w := &world{fleet: f}
+	for i, cfg := range boxes {
+		cfg.ID = fmt.Sprintf("box-%d", i)
+		b, err := f.Start(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.boxes = append(w.boxes, b)
+	}
+	known := f.Disco.List()
+	p := standin.Platform{Seed: 11, Known: &known, Classes: Classes(), Pushed: true, NoProbes: true}
+	if change != nil {
+		change(&p)
+	}
+	w.Form = start(t, p.JSON())
+	return w
+}
+
+var lastID atomic.Int64
+
+// ask makes a request of a class, with an id and a key of its own.
+func ask(class string, header ...string) Ask {
+	n := lastID.Add(1)
+	q := Ask{Method: http.MethodGet, Path: fmt.Sprintf("/%s/k", class), Header: map[string]string{
+		"X-Request-ID": fmt.Sprintf("c%d", n), "X-Timeout-Ms": "9000",
+	}}
+	if class != "read" && class != "quick" {
+		q.Method, q.Body = http.MethodPost, strings.NewReader("body")
+	}
+	if class == "order" || class == "cell" {
+		q.Header["Idempotency-Key"] = fmt.Sprintf("key-%d", n)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		if header[i+1] == "" {
+			delete(q.Header, header[i])
+		} else {
+			q.Header[header[i]] = header[i+1]
+		}
+	}
+	return q
+}
+
+func requests(boxes []*standin.Box) (n int64) {
+	for _, b := range boxes {
+		n += b.Counts().Requests
+	}
+	return n
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// rejections: what cannot be served as it is comes to no box.
+func rejections(t *testing.T, start Start) {
+	w := build(t, start, nil, standin.BoxConfig{})
+	wrongMethod, bodied := ask("pay"), ask("read")
+	wrongMethod.Method, wrongMethod.Body = http.MethodGet, nil
+	bodied.Method, bodied.Body = http.MethodPost, strings.NewReader("x")
+	for _, tt := range []struct {
+		name string
+		ask  Ask
+		want string
+	}{
+		{"unknown class", ask("novel"), "rejected 404"},
+		{"no time at all", ask("read", "X-Timeout-Ms", "soon"), "rejected 400"},
+		{"a negative time", ask("read", "X-Timeout-Ms", "-4"), "rejected 400"},
+		{"no key", ask("order", "Idempotency-Key", ""), "rejected 400"},
+		{"the method of another effect", wrongMethod, "rejected 405"},
+		{"a body that the class has not", bodied, "rejected 405"},
+		{"an id without end", ask("read", "X-Request-ID", strings.Repeat("x", 300)), "rejected 400"},
+	} {
+		if got := w.Ask(t.Context(), tt.ask); got.String() != tt.want {
+			t.Errorf("%s: %v, want %s", tt.name, got, tt.want)
+		}
+	}
+	if n := requests(w.boxes); n > 0 {
+		t.Errorf("%d requests came to a box", n)
+	}
+}
+
+// outcomes: what all three boxes do, and what becomes of the request, how often it was sent and executed.
+func outcomes(t *testing.T, start Start) {
+	for _, tt := range []struct {
+		class    string
+		fault    standin.Fault
+		want     Kind
+		sent     int64
+		executed int
+	}{
+		{"read", standin.None, Served, 1, 1},
+		{"order", standin.None, Served, 1, 1},
+		{"pay", standin.None, Served, 1, 1},
+		{"read", standin.Break, Refused, 3, 3}, // sent again as often as it may be
+		{"order", standin.Break, Refused, 3, 1},
+		{"cell", standin.Break, Failed, 3, 1}, // a refusal would promise what holds in one cell only
+		{"pay", standin.Break, Failed, 1, 1},  // it may have run: never again
+		{"pay", standin.Spoil, Failed, 1, 1},
+		{"pay", standin.Err, Failed, 1, 0},
+		{"pay", standin.TurnAway, Refused, 3, 0}, // proven not to have run
+	} {
+		t.Run(fmt.Sprintf("%s fault %d", tt.class, tt.fault), func(t *testing.T) {
+			box := standin.BoxConfig{Script: func(int, *http.Request) standin.Fault { return tt.fault }}
+			w := build(t, start, nil, box, box, box)
+			q := ask(tt.class)
+			if got := w.Ask(t.Context(), q); got.Kind != tt.want {
+				t.Errorf("%v, want %s", got, tt.want)
+			}
+			key := q.Header["Idempotency-Key"]
+			if key == "" {
+				key = q.Header["X-Request-ID"]
+			}
+			if n := requests(w.boxes); n != tt.sent {
+				t.Errorf("sent %d times, want %d", n, tt.sent)
+			}
+			if n := w.fleet.Executions(tt.class, key); n != tt.executed {
+				t.Errorf("executed %d times, want %d", n, tt.executed)
+			}
+		})
+	}
+}
+
+// refusal: what is turned away everywhere is refused at once, with a time to come back.
+func refusal(t *testing.T, start Start) {
+	w := build(t, start, nil, standin.BoxConfig{Script: func(int, *http.Request) standin.Fault { return standin.TurnAway }})
+	began := time.Now()
+	a := w.Ask(t.Context(), ask("read"))
+	if a.Kind != Refused || a.RetryAfter <= 0 || a.RetryAfter > time.Second {
+		t.Errorf("%v, come back after %v", a, a.RetryAfter)
+	}
+	if d := time.Since(began); d > 5*time.Second { // it had 9 s
+		t.Errorf("refused after %v", d)
+	}
+}
+
+// nameOpen: while a request is open another under its id is turned away.
+func nameOpen(t *testing.T, start Start) {
+	w := build(t, start, nil, standin.BoxConfig{Work: 500 * time.Millisecond})
+	first := make(chan Answer, 1)
+	q := ask("read")
+	go func() { first <- w.Ask(context.Background(), q) }()
+	eventually(t, "the first one is there", func() bool { return requests(w.boxes) == 1 })
+	if got := w.Ask(t.Context(), q); got.String() != "rejected 409" {
+		t.Errorf("the second: %v", got)
+	}
+	if got := <-first; got.Kind != Served {
+		t.Errorf("the first: %v", got)
+	}
+	if got := w.Ask(t.Context(), q); got.Kind != Served {
+		t.Errorf("the id, used again: %v", got)
+	}
+}
+
+// clientLeaves: a client that leaves while an attempt is out has its attempt called off, and nothing more is sent.
+func clientLeaves(t *testing.T, start Start) {
+	for _, class := range []string{"read", "order", "pay"} {
+		w := build(t, start, nil, standin.BoxConfig{Script: func(int, *http.Request) standin.Fault { return standin.Lose }}, standin.BoxConfig{
+			Script: func(int, *http.Request) standin.Fault { return standin.Lose },
+		})
+		ctx, leave := context.WithCancel(t.Context())
+		over := make(chan Answer, 1)
+		q := ask(class)
+		go func() { over <- w.Ask(ctx, q) }()
+		eventually(t, "the attempt is out", func() bool { return requests(w.boxes) == 1 })
+		leave()
+		if got := <-over; got.Kind != Gone {
+			t.Errorf("%s: %v", class, got)
+		}
+		// Its id is free once the form has noticed, and a later request is no worse for it.
+		eventually(t, "its id is free", func() bool {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			again := q
+			if q.Body != nil {
+				again.Body = strings.NewReader("body")
+			}
+			return w.Ask(ctx, again).String() != "rejected 409"
+		})
+		if n := len(w.fleet.Route(q.Header["X-Request-ID"])); n > 2 { // the first one, and the one above that came through
+			t.Errorf("%s: sent %d times for a client that had left", class, n)
+		}
+	}
+}
+
+// ownTime: X-Timeout-Ms and the asker's own deadline cut across the class's. There is one end, in time, and an unsafe
+// request was sent once.
+func ownTime(t *testing.T, start Start) {
+	w := build(t, start, nil, standin.BoxConfig{Script: func(int, *http.Request) standin.Fault { return standin.Lose }})
+	began := time.Now()
+	if got := w.Ask(t.Context(), ask("pay", "X-Timeout-Ms", "200")); got.Kind != Failed {
+		t.Errorf("200 ms by the header: %v", got)
+	}
+	if d := time.Since(began); d < 150*time.Millisecond || d > 8*time.Second {
+		t.Errorf("it ended after %v", d)
+	}
+	if n := requests(w.boxes); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	if got := w.Ask(ctx, ask("pay")); got.Kind != Gone {
+		t.Errorf("200 ms of its own: %v", got)
+	}
+	if n := requests(w.boxes); n != 2 {
+		t.Errorf("sent %d times", n-1)
+	}
+}
+
+// unknownLength hides the length of a reader from net/http.
+type unknownLength struct{ io.Reader }
+
+// errHalfWay is what a body fails with.
+var errHalfWay = errors.New("the body broke")
+
+// bodies: one of unknown length comes whole to the box, and one that is too long or breaks comes not at all.
+func bodies(t *testing.T, start Start) {
+	w := build(t, start, nil, standin.BoxConfig{})
+	post := func(body io.Reader) Answer {
+		q := ask("pay")
+		q.Body = body
+		return w.Ask(t.Context(), q)
+	}
+	for _, n := range []int{0, 1, 100, 64 << 10} {
+		text := strings.Repeat("x", n)
+		want := fmt.Sprintf("served POST /pay/k %d", n)
+		if got := post(strings.NewReader(text)); got.String() != want {
+			t.Errorf("%v, want %s", got, want)
+		}
+		if got := post(unknownLength{strings.NewReader(text)}); got.String() != want {
+			t.Errorf("of unknown length: %v, want %s", got, want)
+		}
+	}
+	before := requests(w.boxes)
+	long := bytes.Repeat([]byte("x"), 64<<10+1)
+	// Over sockets the end of the connection may overtake the answer: not served is what counts.
+	if got := post(bytes.NewReader(long)); got.Kind != Rejected && got.Kind != Broken {
+		t.Errorf("over the limit: %v", got)
+	}
+	if got := post(unknownLength{bytes.NewReader(long)}); got.Kind != Rejected && got.Kind != Broken {
+		t.Errorf("over the limit, of unknown length: %v", got)
+	}
+	if got := post(io.MultiReader(strings.NewReader("half"), failing{})); got.Kind == Served || got.Kind == Refused {
+		t.Errorf("a body that breaks: %v", got)
+	}
+	if n := requests(w.boxes) - before; n > 0 {
+		t.Errorf("%d of them came to a box", n)
+	}
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, errHalfWay }
+
+// drain: what is told to drain gets nothing new, while requests go on at the others.
+func drain(t *testing.T, start Start) {
+	w := build(t, start, nil, standin.BoxConfig{}, standin.BoxConfig{})
+	live := build(t, start, func(p *standin.Platform) {
+		known := w.fleet.Disco.List()
+		p.Known, p.Discovery, p.Pushed, p.AskEvery = &known, w.fleet.Disco.Addr(), false, 100*time.Millisecond
+	}, standin.BoxConfig{})
+	eventually(t, "the list is watched", func() bool { return w.fleet.Disco.Calls() > 0 })
+	w.fleet.Leave(w.boxes[0])
+	eventually(t, "nothing goes to the one that drains", func() bool {
+		before := w.boxes[0].Counts().Requests
+		for range 20 {
+			if got := live.Ask(t.Context(), ask("read")); got.Kind != Served {
+				t.Errorf("%v", got)
+			}
+		}
+		return w.boxes[0].Counts().Requests == before
+	})
+	before := w.boxes[0].Counts().Requests
+	for range 50 {
+		live.Ask(t.Context(), ask("read"))
+	}
+	if n := w.boxes[0].Counts(); n.Requests != before || n.Late > 0 {
+		t.Errorf("%d more sends after that, %d of them late", n.Requests-before, n.Late)
+	}
+	if n := w.boxes[1].Counts().Requests; n < 50 {
+		t.Errorf("the other one got %d", n)
+	}
+}
+
+// emptyAndFull: while the list is empty requests wait for their time, and are served once a box is listed.
+func emptyAndFull(t *testing.T, start Start) {
+	w := build(t, start, nil, standin.BoxConfig{})
+	live := build(t, start, func(p *standin.Platform) {
+		known := w.fleet.Disco.List()
+		p.Known, p.Discovery, p.Pushed, p.AskEvery = &known, w.fleet.Disco.Addr(), false, 100*time.Millisecond
+	}, standin.BoxConfig{})
+	eventually(t, "the list is watched", func() bool { return w.fleet.Disco.Calls() > 0 })
+	w.fleet.Kill(w.boxes[0])
+	eventually(t, "an empty list leaves nobody to ask", func() bool {
+		return live.Ask(t.Context(), ask("quick", "X-Timeout-Ms", "100")).Kind == Failed
+	})
+	over := make(chan Answer, 1)
+	go func() { over <- live.Ask(context.Background(), ask("read")) }()
+	b, err := w.fleet.Start(standin.BoxConfig{ID: "new"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := <-over; got.Kind != Served {
+		t.Errorf("%v once a box is there", got)
+	}
+	if b.Counts().Requests == 0 {
+		t.Error("it was not asked")
+	}
+}
+
+// crowd: many at once, some of whom leave: each gets one answer, and no effect takes place twice.
+func crowd(t *testing.T, start Start) {
+	var cfgs []standin.BoxConfig
+	for range 4 {
+		cfgs = append(cfgs, standin.BoxConfig{Cores: 8, Work: 2 * time.Millisecond})
+	}
+	w := build(t, start, nil, cfgs...)
+	for _, b := range w.boxes {
+		b.Set(standin.Trouble{Err: 0.1, Spoil: 0.05, Break: 0.05})
+	}
+	classes := []string{"read", "order", "pay"}
+	var mu sync.Mutex
+	var asked []Ask
+	var clients sync.WaitGroup
+	for i := range 32 {
+		clients.Go(func() {
+			for j := range 15 {
+				q := ask(classes[(i+j)%len(classes)])
+				mu.Lock()
+				asked = append(asked, q)
+				mu.Unlock()
+				ctx, cancel := context.WithCancel(t.Context())
+				if j%5 == 4 {
+					time.AfterFunc(time.Millisecond, cancel)
+				}
+				if a := w.Ask(ctx, q); a.Kind == Broken || a.Kind == Rejected || a.Kind == Gone && j%5 != 4 {
+					t.Errorf("%v", a)
+				}
+				cancel()
+			}
+		})
+	}
+	clients.Wait()
+	for _, q := range asked {
+		class := strings.Split(q.Path, "/")[1]
+		key := q.Header["Idempotency-Key"]
+		if key == "" {
+			key = q.Header["X-Request-ID"]
+		}
+		if n := w.fleet.Executions(class, key); class != "read" && n > 1 {
+			t.Errorf("%s was executed %d times", class, n)
+		}
+	}
+}
+
+// Record is what one form did on the scripted run: the answers, and for each request the boxes it went to.
+type Record struct {
+	Answers []string
+	Picks   []string
+}
+
+// Scripted plays one run that is the same for every form: one seed, one request at a time, boxes whose reports and
+// faults follow a script. Nothing in it depends on how long anything takes: reports come with the answers, the list is
+// pushed, and after a fault the run waits until every ejection is over.
+func Scripted(t testing.TB, start Start, seed uint64) Record {
+	t.Helper()
+	const boxes, rounds = 5, 60
+	var cfgs []standin.BoxConfig
+	for i := range boxes {
+		cfgs = append(cfgs, standin.BoxConfig{
+			Report: func(n int) string { return fmt.Sprintf("TEXT queue=%d", (n*7+i*3)%5) },
+			Script: func(_ int, q *http.Request) standin.Fault {
+				switch n, _ := strconv.Atoi(q.Header.Get("X-Step")); {
+				case n == 20 && i%2 == 0:
+					return standin.Err
+				case n == 31 && i%2 == 1:
+					return standin.Break
+				case n == 42 && i < 3:
+					return standin.TurnAway
+				}
+				return standin.None
+			},
+		})
+	}
+	w := build(t, start, func(p *standin.Platform) { p.Inline, p.Seed = true, seed }, cfgs...)
+	classes := []string{"read", "order", "pay", "cell"}
+	var r Record
+	for n := range rounds {
+		q := ask(classes[n%len(classes)], "X-Step", strconv.Itoa(n), "X-Request-ID", fmt.Sprintf("step-%d", n))
+		r.Answers = append(r.Answers, w.Ask(t.Context(), q).String())
+		r.Picks = append(r.Picks, strings.Join(w.fleet.Route(q.Header["X-Request-ID"]), "+"))
+		if n == 20 || n == 31 || n == 42 {
+			time.Sleep(2500 * time.Millisecond) // three failures in a row eject for 2 s
+		}
+	}
+	return r
+}
+
+// Diff tells where two records differ; empty: nowhere.
+func (r Record) Diff(other Record) string {
+	for i := range r.Answers {
+		if i >= len(other.Answers) || r.Answers[i] != other.Answers[i] || r.Picks[i] != other.Picks[i] {
+			return fmt.Sprintf("step %d: %s by %s, and %s by %s", i, r.Answers[i], r.Picks[i], other.Answers[i], other.Picks[i])
+		}
+	}
+	return ""
+}
+
+// Varied reports whether the run went to several boxes and met faults, as a run that does not shows nothing.
+func (r Record) Varied() bool {
+	kinds, picks := map[string]bool{}, map[string]bool{}
+	for i := range r.Answers {
+		kind, _, _ := strings.Cut(r.Answers[i], " ")
+		kinds[kind], picks[r.Picks[i]] = true, true
+	}
+	return len(picks) >= 5 && len(kinds) >= 2 && slices.ContainsFunc(r.Picks, func(p string) bool { return strings.Contains(p, "+") })
+}
+
+// Figures is what a form gave under load, by class: the share served, and the median time of those.
+type Figures map[string]ClassFigures
+
+// ClassFigures is that of one class.
+type ClassFigures struct {
+	Asked  int
+	Served float64
+	Median time.Duration
+}
+
+// Load plays some seconds of a schedule that does not wait for answers, on boxes of which two err.
+func Load(t testing.TB, start Start, length time.Duration, rate int) Figures {
+	t.Helper()
+	var cfgs []standin.BoxConfig
+	for range 6 {
+		cfgs = append(cfgs, standin.BoxConfig{Cores: 4, Work: 10 * time.Millisecond})
+	}
+	w := build(t, start, func(p *standin.Platform) { p.NoProbes = false }, cfgs...)
+	w.boxes[0].Set(standin.Trouble{Err: 0.3})
+	w.boxes[1].Set(standin.Trouble{Break: 0.3})
+	classes := []string{"read", "order", "pay"}
+	var mu sync.Mutex
+	times, asked := map[string][]time.Duration{}, map[string]int{}
+	var clients sync.WaitGroup
+	began := time.Now()
+	for i := range int(length.Seconds() * float64(rate)) {
+		time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+		class := classes[i%len(classes)]
+		clients.Go(func() {
+			at := time.Now()
+			a := w.Ask(t.Context(), ask(class))
+			mu.Lock()
+			defer mu.Unlock()
+			asked[class]++
+			if a.Kind == Served {
+				times[class] = append(times[class], time.Since(at))
+			}
+		})
+	}
+	clients.Wait()
+	f := Figures{}
+	for _, class := range classes {
+		slices.Sort(times[class])
+		c := ClassFigures{Asked: asked[class], Served: float64(len(times[class])) / float64(max(asked[class], 1))}
+		if n := len(times[class]); n > 0 {
+			c.Median = times[class][n/2]
+		}
+		f[class] = c
+	}
+	if e := w.fleet.Effects(); e.Duplicates > 0 {
+		t.Errorf("%d effects took place twice", e.Duplicates)
+	}
+	return f
+}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -53,6 +53,8 @@
 
 	// Script, if set, says what goes wrong with the nth request (from 0) in place of chance.
 	Script func(n int, q *http.Request) Fault
+	// Report, if set, is the load report that comes with the answer to the nth request (from 0).
+	Report func(n int) string
 	// Body is what it answers with; nil: its name and the request's target.
 	Body []byte
 }
@@ -86,7 +88,6 @@
 	offered  []offer   // of the last second
 	fallen   bool
 	errs     []time.Time // of the last second
-	ids      []string    // the X-Request-IDs that came, in order
 }
 
 // offer is work that came.
@@ -162,13 +163,6 @@
 	return Counts{b.requests.Load(), b.probes.Load(), b.late.Load(), b.conns.Load(), b.fallen}
 }
 
-// IDs returns the X-Request-IDs of the requests that it has had, in the order in which they came, up to 100,000.
-func (b *Box) IDs() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return append([]string(nil), b.ids...)
-}
-
 // drain makes it finish what it has and turn away what is new.
 func (b *Box) drain() {
 	b.mu.Lock()
@@ -209,6 +203,7 @@
 	if err != nil {
 		return
 	}
+	b.fleet.came(q.Header.Get("X-Request-Id"), b.cfg.ID)
 	n := b.requests.Add(1) - 1
 	fault, refuse, work := b.arrive(int(n), q)
 	if refuse || fault == TurnAway {
@@ -216,6 +211,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if b.cfg.Report != nil {
+		w.Header().Set("X-Server-Load", b.cfg.Report(int(n)))
+	}
 	if fault == Err {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -258,9 +256,6 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.ids) < mostKept {
-		b.ids = append(b.ids, q.Header.Get("X-Request-Id"))
-	}
 	if !b.toldAt.IsZero() && now.Sub(b.toldAt) > drainGrace {
 		b.late.Add(1)
 	}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -21,6 +21,7 @@
 	boxes    []*Box
 	seeds    uint64
 	executed map[string]*execution // by class and key, at most mostKept
+	routes   map[string][]string   // the boxes that a request came to, by X-Request-ID, at most mostKept
 	dropped  int                   // repeats that were known and so not executed again
 }
 
@@ -39,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{classes: map[string]policy.Class{}, Disco: d, seeds: seed, executed: map[string]*execution{}}
+	f := &Fleet{classes: map[string]policy.Class{}, Disco: d, seeds: seed, executed: map[string]*execution{}, routes: map[string][]string{}}
 	for _, c := range classes {
 		f.classes[c.Name] = c
 	}
@@ -109,6 +110,22 @@
 	return slices.Clone(f.boxes)
 }
 
+// came notes that a request has come to a box.
+func (f *Fleet) came(id, box string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, known := f.routes[id]; known || len(f.routes) < mostKept {
+		f.routes[id] = append(r, box)
+	}
+}
+
+// Route returns the names of the boxes that a request came to, by its X-Request-ID and in order.
+func (f *Fleet) Route(id string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.routes[id])
+}
+
 // execute notes that b has executed q, unless the memory of its group still knows the key.
 func (f *Fleet) execute(b *Box, q *http.Request, now time.Time) {
 	name, key := keyOf(q)
