--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"fmt"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -28,7 +28,12 @@
 				if err != nil {
 					return
 				}
-				if n, _ := fmt.Sscanf(string(line), "Content-Length: %d", &length); n == 0 && len(line) == 2 {
+				if value, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
+					for _, c := range bytes.TrimSpace(value) {
+						length = 10*length + int(c-'0')
+					}
+				}
+				if len(line) == 2 {
 					break
 				}
 			}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -311,7 +311,8 @@
 		}
 		r.mu.Unlock()
 		if !full {
-			r.clients.Go(func() { r.ask(c, n, due, work) })
+			at := due // the next turn moves it on
+			r.clients.Go(func() { r.ask(c, n, at, work) })
 		}
 	}
 }
--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,89 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"quillfront/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestRun: the account adds up, shows the troubles, and no rule breaks.
+func TestRun(t *testing.T) {
+	events := map[string]bool{}
+	r, err := Run(t.Context(), Options{For: 5 * time.Second, Rate: 60, Progress: func(p Progress) {
+		if p.Event != "" {
+			events[p.Event] = true
+		}
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Served+r.Refused+r.Failed+r.Lost != r.Asked || r.Asked < 150 {
+		t.Errorf("%d asked, %d served, %d refused, %d failed, %d lost", r.Asked, r.Served, r.Refused, r.Failed, r.Lost)
+	}
+	if len(r.Broken) > 0 {
+		t.Errorf("rules broke: %v", r.Broken)
+	}
+	if r.Served < r.Asked*8/10 {
+		t.Errorf("%d of %d served", r.Served, r.Asked)
+	}
+	if len(events) < 4 || len(r.Boxes) != 7 || r.Boxes["giru-3"].Requests == 0 {
+		t.Errorf("events %v, boxes %v", events, r.Boxes)
+	}
+	text, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"served", "refused", "failed", "duplicates", "late_sends_to_draining"} {
+		if !strings.Contains(string(text), `"`+key+`":`) {
+			t.Errorf("no %s in %s", key, text)
+		}
+	}
+	var table strings.Builder
+	if err := r.Write(&table); err != nil || !strings.Contains(table.String(), "delivery-order") || strings.Contains(table.String(), "BROKEN") {
+		t.Errorf("table %v\n%s", err, table.String())
+	}
+}
+
+// TestBrokenRuleShows: the account can fail. A box that is told to drain and at once asked by somebody who was never told
+// counts late sends once the grace is over.
+func TestBrokenRuleShows(t *testing.T) {
+	var pokes sync.WaitGroup
+	r, err := Run(t.Context(), Options{For: 5 * time.Second, Rate: 20, Sabotage: func(b *standin.Box) {
+		pokes.Go(func() {
+			for range 45 { // one request each 100 ms, until past the 2 s
+				time.Sleep(100 * time.Millisecond)
+				standin.Poke(b)
+			}
+		})
+	}})
+	pokes.Wait()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.LateToDraining == 0 || len(r.Broken) == 0 {
+		t.Errorf("%d late sends, broken %v", r.LateToDraining, r.Broken)
+	}
+}
+
+func TestOptions(t *testing.T) {
+	for _, o := range []Options{{For: time.Millisecond}, {For: 48 * time.Hour}, {Rate: -1}, {Rate: 1e9}} {
+		if _, err := Run(t.Context(), o); err == nil {
+			t.Errorf("%+v is taken", o)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := Run(ctx, Options{For: time.Second}); !errors.Is(err, context.Canceled) {
+		t.Errorf("called off: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/httpmsg/httpmsg_test.go
@@ -0,0 +1,177 @@
+package httpmsg
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+func read(text string) (*Head, *bufio.Reader, error) {
+	r := bufio.NewReaderSize(strings.NewReader(strings.ReplaceAll(text, "\n", "\r\n")), 1024)
+	h := &Head{}
+	return h, r, h.Read(r)
+}
+
+// TestHead is a table of heads and what is made of them.
+func TestHead(t *testing.T) {
+	for _, tt := range []struct {
+		name, text string
+		err        error
+		length     int64
+		chunked    bool
+		close      bool
+	}{
+		{"plain", "GET / HTTP/1.1\nHost: s\n\n", nil, -1, false, false},
+		{"a length", "GET / HTTP/1.1\nContent-Length: 17\n\n", nil, 17, false, false},
+		{"chunks", "GET / HTTP/1.1\ntransfer-encoding: Chunked\n\n", nil, -1, true, false},
+		{"an end", "GET / HTTP/1.1\nConnection: X-A, close\n\n", nil, -1, false, true},
+		{"two lengths", "GET / HTTP/1.1\nContent-Length: 1\nContent-Length: 1\n\n", ErrFraming, 0, false, false},
+		{"both ways", "GET / HTTP/1.1\nContent-Length: 1\nTransfer-Encoding: chunked\n\n", ErrFraming, 0, false, false},
+		{"two codings", "GET / HTTP/1.1\nTransfer-Encoding: chunked\nTransfer-Encoding: chunked\n\n", ErrFraming, 0, false, false},
+		{"another coding", "GET / HTTP/1.1\nTransfer-Encoding: gzip, chunked\n\n", ErrHead, 0, false, false},
+		{"a sign", "GET / HTTP/1.1\nContent-Length: +1\n\n", ErrHead, 0, false, false},
+		{"no digits", "GET / HTTP/1.1\nContent-Length:\n\n", ErrHead, 0, false, false},
+		{"too many digits", "GET / HTTP/1.1\nContent-Length: 9999999999999999999\n\n", ErrHead, 0, false, false},
+		{"a folded line", "GET / HTTP/1.1\nA: b\n c: d\n\n", ErrHead, 0, false, false},
+		{"white space in a name", "GET / HTTP/1.1\nContent-Length : 1\n\n", ErrHead, 0, false, false},
+		{"no colon", "GET / HTTP/1.1\nnonsense\n\n", ErrHead, 0, false, false},
+		{"no name", "GET / HTTP/1.1\n: x\n\n", ErrHead, 0, false, false},
+		{"a control character", "GET / HTTP/1.1\nA: \x00\n\n", ErrHead, 0, false, false},
+		{"a bare CR", "GET / HTTP/1.1\nA: b\rContent-Length: 3\n\n", ErrHead, 0, false, false},
+		{"an empty first line", "\nGET / HTTP/1.1\n\n", ErrHead, 0, false, false},
+		{"cut off", "GET / HTTP/1.1\nHost", io.EOF, 0, false, false},
+		{"without end", "GET / HTTP/1.1\nA: " + strings.Repeat("x", 2000), ErrHeadTooLong, 0, false, false},
+	} {
+		h, _, err := read(tt.text)
+		if !errors.Is(err, tt.err) || tt.err == nil && err != nil {
+			t.Errorf("%s: error %v, want %v", tt.name, err, tt.err)
+		} else if err == nil && (h.Length != tt.length || h.Chunked != tt.chunked || h.Close != tt.close) {
+			t.Errorf("%s: %+v", tt.name, h)
+		}
+	}
+}
+
+// TestFirstLines is a table of request and status lines.
+func TestFirstLines(t *testing.T) {
+	for line, want := range map[string]bool{
+		"GET /a?b HTTP/1.1": true, "POST /a HTTP/1.0": true, "GET /a": false, "GET  /a HTTP/1.1": false, "GET /a b HTTP/1.1": false,
+		"G(T /a HTTP/1.1": false, "GET /a HTTP/2.0": false, "GET /a HTTP/1.1x": false, "GET /a http/1.1": false, "GET /a HTTP/1.": false,
+	} {
+		h := Head{First: []byte(line)}
+		if _, _, _, err := h.Request(); (err == nil) != want {
+			t.Errorf("%q: %v", line, err)
+		}
+	}
+	for line, want := range map[string]int{
+		"HTTP/1.1 200 OK": 200, "HTTP/1.0 503": 503, "HTTP/1.1 503 ": 503, "HTTP/1.1 20": 0, "HTTP/1.1 2000": 0, "HTTP/1.1 099 x": 0,
+		"HTTP/3.1 200 OK": 0, "200 OK": 0, "HTTP/1.1 -20 x": 0, "": 0,
+	} {
+		h := Head{First: []byte(line)}
+		if code, _, err := h.Status(); (err == nil) != (want > 0) || err == nil && code != want {
+			t.Errorf("%q: %d, %v", line, code, err)
+		}
+	}
+}
+
+// TestHop: what Connection lists concerns one connection only, as the names do that always do.
+func TestHop(t *testing.T) {
+	h, _, err := read("GET / HTTP/1.1\nConnection: x-mine, Close\nX-Mine: 1\nKEEP-ALIVE: 5\nX-Other: 2\n\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kept []string
+	for _, f := range h.Fields {
+		if !h.Hop(f) {
+			kept = append(kept, string(f.Name))
+		}
+	}
+	if len(kept) != 1 || kept[0] != "X-Other" {
+		t.Errorf("kept %v", kept)
+	}
+	lines := AppendHeader(nil, http.Header{
+		"Connection": {"x-mine"}, "X-Mine": {"1"}, "X-Other": {"a", "b"}, "X-Bad": {"a\r\nb: c"}, "Host": {"h"},
+	}, func(name string) bool { return name == "Host" })
+	if string(lines) != "X-Other: a\r\nX-Other: b\r\n" {
+		t.Errorf("%q", lines)
+	}
+	if got := ParseHeader(lines); len(got) != 1 || strings.Join(got["X-Other"], ",") != "a,b" {
+		t.Errorf("%v", got)
+	}
+}
+
+// TestBodies: bodies in chunks and of a length, whole, cut off, and over the bound; what follows is left in the reader.
+func TestBodies(t *testing.T) {
+	chunked := func(text string) (string, string, error) {
+		r := bufio.NewReader(strings.NewReader(strings.ReplaceAll(text, "\n", "\r\n")))
+		body, err := ReadChunked(r)
+		rest, _ := io.ReadAll(r)
+		return string(body), string(rest), err
+	}
+	for _, text := range []string{"5\nhello\n0\n\nrest", "2\nhe\n3\nllo\n0\nX-Trailer: y\n\nrest"} {
+		if body, rest, err := chunked(text); body != "hello" || rest != "rest" || err != nil {
+			t.Errorf("%q: %q, %q, %v", text, body, rest, err)
+		}
+	}
+	for _, text := range []string{"5\nhel", "5\nhello\n", "5\nhello\n0\n", "zz\n", "-1\n", "", "5\nhello\n0\n" + strings.Repeat("X: y\n", 2000) + "\n"} {
+		if body, _, err := chunked(text); err == nil {
+			t.Errorf("%.20q: taken as %q", text, body)
+		}
+	}
+	r := bufio.NewReader(io.MultiReader(strings.NewReader("100000\r\n"), zeros{}))
+	if _, err := ReadChunked(r); !errors.Is(err, ErrBodyTooLong) {
+		t.Errorf("over the bound: %v", err)
+	}
+	if _, err := ReadBody(r, MaxBody+1); !errors.Is(err, ErrBodyTooLong) {
+		t.Errorf("over the bound: %v", err)
+	}
+	if _, err := ReadToEnd(zeros{}); !errors.Is(err, ErrBodyTooLong) {
+		t.Errorf("over the bound: %v", err)
+	}
+	if _, err := ReadBody(bufio.NewReader(strings.NewReader("ab")), 3); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("cut off: %v", err)
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// FuzzHead: whatever comes, what is taken is taken alike by net/http, in length and coding, and is read the same in pieces.
+func FuzzHead(f *testing.F) {
+	for _, text := range []string{
+		"GET / HTTP/1.1\r\nHost: s\r\n\r\n", "POST /a HTTP/1.0\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello",
+		"POST /a HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "GET / HTTP/1.1\nA:b\n\n", "\r\n\r\n", "a: b\n c\n\n",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var whole, pieces Head
+		err := whole.Read(bufio.NewReaderSize(bytes.NewReader(text), 4096))
+		perr := pieces.Read(bufio.NewReaderSize(oneByOne{bytes.NewReader(text)}, 4096))
+		if (err == nil) != (perr == nil) || err == nil && (whole.Length != pieces.Length || len(whole.Fields) != len(pieces.Fields)) {
+			t.Fatalf("whole %v, in pieces %v", err, perr)
+		}
+		if err != nil {
+			return
+		}
+		method, _, _, err := whole.Request()
+		if err != nil || string(method) == "PRI" || whole.Chunked {
+			return
+		}
+		q, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(text)))
+		if err != nil {
+			return // it may be stricter about targets, hosts and trailers
+		}
+		if length := max(whole.Length, 0); q.ContentLength != length {
+			t.Errorf("length %d, and %d by net/http", length, q.ContentLength)
+		}
+	})
+}
+
+type oneByOne struct{ io.Reader }
+
+func (o oneByOne) Read(p []byte) (int, error) { return o.Reader.Read(p[:min(len(p), 1)]) }
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -368,3 +368,11 @@
 	}
 	return class, key
 }
+
+// Poke sends a box one request as somebody does who was never told of its drain, for tests of what counts late sends.
+func Poke(b *Box) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	if resp, err := client.Get("http://" + b.Addr() + "/poke"); err == nil {
+		resp.Body.Close()
+	}
+}
--- /dev/null
+++ b/path_bench_test.go
@@ -0,0 +1,165 @@
+package quillfront_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"quillfront"
+	"quillfront/internal/config"
+	"quillfront/internal/daemon"
+	"quillfront/internal/engine"
+	"quillfront/internal/standin"
+	"quillfront/policy"
+)
+
+// BenchmarkPath is one request, 200 bytes up and 1,000 down, by each form and by what one would use without: a bare
+// http.Transport straight to the server, and net/http/httputil.ReverseProxy with a pool that holds all connections.
+// Client, form and server run in one process and are counted together. The clients of all but the round tripper, which
+// is a client itself, are the same http.Transport.
+func BenchmarkPath(b *testing.B) {
+	answer := []byte(strings.Repeat("x", 1000))
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		w.Header()["Content-Type"] = []string{"text/plain"}
+		w.Write(answer)
+	}))
+	defer srv.Close()
+	addr := srv.Listener.Addr().String()
+	text := standin.Platform{
+		Seed: 1, Pushed: true, NoProbes: true, Sockets: 1024,
+		Known: &engine.List{Seq: 1, Whole: true, Servers: []engine.Server{{ID: "a", Addr: addr}}},
+		Classes: []policy.Class{{
+			Name: "order", Effect: policy.Keyed, KeyTTL: time.Second, Aim: 9 * time.Second, Deadline: 10 * time.Second, Worth: 1,
+		}},
+	}.JSON()
+	transport := func() *http.Transport {
+		return &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	}
+	library := func(b *testing.B) *quillfront.Balancer {
+		l, err := quillfront.NewFromJSON(text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(l.Close)
+		return l
+	}
+	behind := func(b *testing.B, h http.Handler) (http.RoundTripper, string) {
+		front := httptest.NewServer(h)
+		b.Cleanup(front.Close)
+		tr := transport()
+		b.Cleanup(tr.CloseIdleConnections)
+		return tr, front.URL
+	}
+	paths := []struct {
+		name  string
+		start func(b *testing.B) (http.RoundTripper, string)
+	}{
+		{"direct", func(b *testing.B) (http.RoundTripper, string) {
+			tr := transport()
+			b.Cleanup(tr.CloseIdleConnections)
+			return tr, srv.URL
+		}},
+		{"round-tripper", func(b *testing.B) (http.RoundTripper, string) { return library(b).RoundTripper(), "http://fleet" }},
+		{"reverse-proxy", func(b *testing.B) (http.RoundTripper, string) {
+			to, _ := url.Parse(srv.URL)
+			proxy := httputil.NewSingleHostReverseProxy(to)
+			proxy.Transport = transport()
+			return behind(b, proxy)
+		}},
+		{"handler", func(b *testing.B) (http.RoundTripper, string) { return behind(b, library(b).Handler()) }},
+		{"daemon", func(b *testing.B) (http.RoundTripper, string) {
+			cfg, err := config.Parse(text)
+			if err != nil {
+				b.Fatal(err)
+			}
+			s, err := daemon.New(cfg, slog.New(slog.DiscardHandler))
+			if err != nil {
+				b.Fatal(err)
+			}
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			over := make(chan error, 1)
+			go func() { over <- s.Serve(ctx, ln.(*net.TCPListener)) }()
+			tr := transport()
+			b.Cleanup(func() { tr.CloseIdleConnections(); stop(); <-over })
+			return tr, "http://" + ln.Addr().String()
+		}},
+	}
+	for _, clients := range []int{1, 16} {
+		for _, p := range paths {
+			b.Run(fmt.Sprintf("%s/clients=%d", p.name, clients), func(b *testing.B) {
+				rt, base := p.start(b)
+				load(b, rt, base, clients)
+			})
+		}
+	}
+}
+
+// load has clients ask until b.N requests are answered, and reports the 99th percentile beside the mean.
+func load(b *testing.B, rt http.RoundTripper, base string, clients int) {
+	body := bytes.Repeat([]byte("y"), 200)
+	var n, id atomic.Int64
+	ask := func() error {
+		q, err := http.NewRequest(http.MethodPost, base+"/order/k", bytes.NewReader(body))
+		if err != nil {
+			return err
+		}
+		name := fmt.Sprint(id.Add(1))
+		q.Header["X-Request-Id"], q.Header["Idempotency-Key"] = []string{name}, []string{name}
+		resp, err := rt.RoundTrip(q)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if got, err := io.Copy(io.Discard, resp.Body); err != nil || got != 1000 || resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("answer %d of %d bytes, %v", resp.StatusCode, got, err)
+		}
+		return nil
+	}
+	for range 4 * clients { // connections are opened, and the module has learnt
+		if err := ask(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	var all sync.WaitGroup
+	times := make([][]time.Duration, clients)
+	for i := range clients {
+		times[i] = make([]time.Duration, 0, b.N/clients+1)
+		all.Go(func() {
+			for n.Add(1) <= int64(b.N) {
+				began := time.Now()
+				if err := ask(); err != nil {
+					b.Error(err)
+					return
+				}
+				times[i] = append(times[i], time.Since(began))
+			}
+		})
+	}
+	all.Wait()
+	b.StopTimer()
+	merged := slices.Concat(times...)
+	slices.Sort(merged)
+	if len(merged) > 0 {
+		b.ReportMetric(float64(merged[len(merged)*99/100].Microseconds()), "p99-us")
+	}
+}
