Keep the wait for a client's next bytes across its answer

Change: the wait for what comes next on a client's connection goes on while the answer is written, in place of being ended and begun again for each request; the deadline of a server's answer is set only for one that does not come in one piece.

--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -103,6 +103,7 @@
 	head    httpmsg.Head // of the present request
 	scratch []byte       // for answers
 	more    chan error   // how the wait for what comes next has ended
+	waiting bool         // that wait is under way
 	phase   phase
 	since   time.Time   // of that phase
 	heard   atomic.Bool // something has been read since it fell quiet
@@ -156,7 +157,7 @@
 		return false
 	}
 	c.phase, c.since = p, time.Now()
-	if p == idle {
+	if p == serving { // all that came is taken, and nobody reads: what is heard from now on is the next request
 		c.heard.Store(false)
 	}
 	return true
@@ -263,8 +264,8 @@
 	}()
 	for until := c.since.Add(headTime); ; until = time.Now().Add(idleTime) {
 		first := c.phase == fresh
-		c.SetReadDeadline(until)
-		if _, err := c.r.Peek(1); err != nil || !s.enter(c, reading) {
+		c.SetReadDeadline(until) // also of the wait that is under way
+		if err := c.next(); err != nil || !s.enter(c, reading) {
 			return
 		}
 		if !first {
@@ -396,16 +397,17 @@
 	errCrowd = httpcall.Rejection{Status: http.StatusBadRequest, Text: "more came before the answer: one request at a time"}
 )
 
-// answer waits for the final answer to r and writes it. It reports whether the connection can go on.
+// answer waits for the final answer to r and writes it. It reports whether the connection can go on. The wait for what
+// comes next then goes on too: to end it for each request would cost two switches of goroutines.
 func (s *Server) answer(c *clientConn, keep persistence, r *engine.Request) bool {
 	c.SetReadDeadline(time.Time{})
-	go c.await() // ends when something comes, the client leaves, or by the deadline set below
+	c.waiting = true
+	go c.await()
 	select {
 	case result := <-r.Result():
-		c.SetReadDeadline(time.Unix(1, 0))
-		err := <-c.more
-		return s.write(c, keep, result) && isTimeout(err)
+		return s.write(c, keep, result)
 	case err := <-c.more:
+		c.waiting = false
 		if !s.engine.Withdraw(r) {
 			s.write(c, last, <-r.Result())
 		} else if err == nil {
@@ -415,12 +417,22 @@
 	}
 }
 
-// await waits until something comes, or can no longer.
+// await waits until something comes, the client leaves or the read deadline has passed.
 func (c *clientConn) await() {
 	_, err := c.r.Peek(1)
 	c.more <- err
 }
 
+// next waits until something has come, or can no longer. From then on nobody else reads.
+func (c *clientConn) next() error {
+	if c.waiting {
+		c.waiting = false
+		return <-c.more
+	}
+	_, err := c.r.Peek(1)
+	return err
+}
+
 func isTimeout(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) && ne.Timeout()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -57,15 +57,26 @@
 	number  [20]byte     // room to write one
 	since   time.Time
 	until   time.Time // the deadline of the present exchange
+	first   time.Time // when the first byte of the present answer came; zero: none has, or its deadline is set
 }
 
 func newConn(nc net.Conn, to engine.Endpoint, release func()) *conn {
 	c := &conn{Conn: nc, to: to, release: release, peek: sockets.NewPeeker(nc)}
 	c.hangUp = func() { c.Close() }
-	c.r, c.w = bufio.NewReaderSize(nc, connBuffer), bufio.NewWriterSize(nc, writeBuffer)
+	c.r, c.w = bufio.NewReaderSize(c, connBuffer), bufio.NewWriterSize(nc, writeBuffer)
 	return c
 }
 
+// Read is the method of net.Conn. An answer that did not come in one piece must be whole within answerTime: the deadline
+// for it is set with the second piece, as most answers have none.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.first.IsZero() {
+		c.SetReadDeadline(earlier(c.until, c.first.Add(answerTime)))
+		c.first = time.Time{}
+	}
+	return c.Conn.Read(p)
+}
+
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.release()
@@ -99,7 +110,7 @@
 
 // setUntil sets the deadline of an exchange.
 func (c *conn) setUntil(t time.Time) {
-	c.until = t
+	c.until, c.first = t, time.Time{}
 	c.SetDeadline(t)
 }
 
@@ -256,12 +267,15 @@
 	if err := c.write(m, left); err != nil {
 		return 0, 0, errNotWritten{err}
 	}
-	for range mostInterim {
-		c.SetReadDeadline(c.until)
+	for i := range mostInterim {
+		if i > 0 { // the one before may have set that of its own end
+			c.first = time.Time{}
+			c.SetReadDeadline(c.until)
+		}
 		if _, err := c.r.Peek(1); err != nil {
 			return 0, 0, err
 		}
-		c.SetReadDeadline(earlier(c.until, time.Now().Add(answerTime)))
+		c.first = time.Now()
 		if err := c.head.Read(c.r); err != nil {
 			return 0, 0, err
 		}
