Show that a payload outlives its request while an attempt is out

Need: of eleven mutations one survived, which gave a payload back before its attempts had ended. Change: a test with a transport that is deaf to cancels.

--- a/internal/engine/hosting_test.go
+++ b/internal/engine/hosting_test.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	end     map[*Attempt]chan Ending
 	hung    []Endpoint
+	deaf    bool // to cancels
 }
 
 func newFake() *fake {
@@ -35,7 +36,11 @@
 	f.mu.Lock()
 	f.end[a] = end
 	f.mu.Unlock()
-	if !a.OnCancel(sync.OnceFunc(func() { close(stop) })) {
+	if !a.OnCancel(sync.OnceFunc(func() {
+		if !f.deaf {
+			close(stop)
+		}
+	})) {
 		return Ending{Status: policy.Canceled}
 	}
 	f.started <- a
@@ -176,6 +181,28 @@
 	}
 }
 
+// TestPayloadOutlivesItsRequest: an attempt that goes on after its request has ended still has the payload.
+func TestPayloadOutlivesItsRequest(t *testing.T) {
+	e, f := start(t, "a")
+	f.deaf = true
+	r, released := take(t, e, "safe", "")
+	a := next(t, "attempt", f.started)
+	e.Withdraw(r)
+	select {
+	case <-released:
+		t.Error("the payload is given back while an attempt is out")
+	default:
+	}
+	if a.Payload() != "payload" {
+		t.Errorf("the payload is %v", a.Payload())
+	}
+	f.finish(a, Ending{Status: policy.OK})
+	next(t, "release", released)
+	if len(r.Result()) > 0 {
+		t.Error("a result after the withdrawal")
+	}
+}
+
 // TestUnlistedServer: what a module sends to a server that has gone was never sent.
 func TestUnlistedServer(t *testing.T) {
 	e, f := start(t, "a")
