Begin the store: a segmented log that survives a cut at any byte

Need: a restart forgets every delivery-order. Change: package store with the log, the index, group sync, retention by segments, bounds and a file-system interface; nothing uses it yet, and compaction, hints and the ledger are open. A record says what was durable when it was written, which tells a flipped bit from a cut.

--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,577 @@
+// Package store is an embedded store for what must outlast a restart: an append-only log in segments, with a checksum and a
+// sequence in every record, and an index in memory that is rebuilt from it. After any cut it opens to a state that it has
+// had before, which holds everything that was acknowledged as durable, and never a record that was not written.
+//
+// It owns the files of one directory, whose format is at record.go, and bounds them and its memory by Options. It imports
+// nothing of the rest of the program.
+package store
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options bounds a store. Zero values take the defaults.
+type Options struct {
+	SegmentBytes int64            // a segment is closed once it is that long; 4 MiB, at most 1 GiB
+	MostBytes    int64            // of all segments; 256 MiB. What does not fit gives ErrFull
+	MostKeys     int              // 1,000,000. One more gives ErrFull
+	Retention    time.Duration    // how long a record is kept; 24 h
+	Now          func() time.Time // time.Now
+}
+
+// The errors of a store, beside those of its file system.
+var (
+	ErrClosed = errors.New("store: closed")
+	ErrFull   = errors.New("store: full")
+	ErrSize   = errors.New("store: the key or the value is too long, or the key is empty")
+)
+
+// CorruptError tells that bytes which were durable are not as they were written.
+type CorruptError struct {
+	File   string
+	Offset int64
+	Reason error
+}
+
+// Error names the file and the offset.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("store: %s at offset %d: %v", e.File, e.Offset, e.Reason)
+}
+
+// Unwrap returns the reason.
+func (e *CorruptError) Unwrap() error { return e.Reason }
+
+// Durability says when a write is acknowledged.
+type Durability int
+
+// The levels.
+const (
+	// Synced writes return once they are durable. Those that wait together share a sync.
+	Synced Durability = iota
+	// Buffered writes return once the file system has them: they survive the death of the process, and a power cut only
+	// after the next Sync.
+	Buffered
+)
+
+// Store is an open store. Its methods may be called from many goroutines at once.
+type Store struct {
+	fs   FS
+	o    Options
+	lock io.Closer
+
+	mu       sync.Mutex
+	index    map[string]place
+	segments []*segment // in order of their sequences; the last one is written to
+	out      File       // of the last one; nil: the next write begins a segment
+	seq      uint64     // of the latest record
+	at       int64      // of the latest record: times never run backwards
+	pending  []byte     // written since the last sync, to write it again elsewhere should a sync fail
+	closed   bool
+	failed   error // why the last write could not be made; nil: it could
+
+	syncing sync.Mutex // held by the one that syncs
+	durable uint64     // the latest record known to be durable; under mu
+}
+
+// segment is one file. Its records have the sequences from first on.
+type segment struct {
+	name  string
+	first uint64
+	size  int64
+	last  int64 // time of its latest record
+}
+
+// place is where the latest record of a key lies.
+type place struct {
+	seq    uint64
+	at     int64
+	file   uint64 // first of its segment
+	offset uint32
+	size   uint32
+}
+
+const suffix = ".seg"
+
+func segmentName(first uint64) string { return fmt.Sprintf("%020d%s", first, suffix) }
+
+// Open opens the store in fs, or makes one. A directory that another process has open gives ErrLocked, files of a newer
+// version ErrVersion, and durable bytes that have changed a *CorruptError; in all cases nothing is changed.
+func Open(fs FS, o Options) (*Store, error) {
+	if o.SegmentBytes == 0 {
+		o.SegmentBytes = 4 << 20
+	}
+	if o.MostBytes == 0 {
+		o.MostBytes = 256 << 20
+	}
+	if o.MostKeys == 0 {
+		o.MostKeys = 1_000_000
+	}
+	if o.Retention == 0 {
+		o.Retention = 24 * time.Hour
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.SegmentBytes < 1<<10 || o.SegmentBytes > 1<<30 || o.MostBytes < o.SegmentBytes || o.MostKeys < 1 || o.Retention < 0 {
+		return nil, fmt.Errorf("store: options out of range: %+v", o)
+	}
+	lock, err := fs.Lock("lock")
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{fs: fs, o: o, lock: lock, index: map[string]place{}}
+	if err := s.recover(); err != nil {
+		lock.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// recover reads all segments. The first record that is not one ends the log, unless a later record shows that it had
+// been durable: each segment begins only once the one before is durable whole, so that only the last may be cut.
+func (s *Store) recover() error {
+	names, err := s.fs.List()
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	for _, name := range names {
+		number, ok := strings.CutSuffix(name, suffix)
+		if !ok {
+			continue
+		}
+		first, err := strconv.ParseUint(number, 10, 64)
+		if err != nil || segmentName(first) != name {
+			return &CorruptError{name, 0, errors.New("the name is none that this program gives")}
+		}
+		s.segments = append(s.segments, &segment{name: name, first: first})
+	}
+	for i := 0; i < len(s.segments); i++ {
+		g := s.segments[i]
+		next := uint64(math.MaxUint64)
+		if i+1 < len(s.segments) {
+			next = s.segments[i+1].first
+		}
+		end, err := s.load(g, next)
+		if err != nil {
+			return err
+		}
+		g.size = end
+		if next != math.MaxUint64 && next != s.seq+1 {
+			return &CorruptError{g.name, end, fmt.Errorf("records %d to %d are missing", s.seq+1, next-1)}
+		}
+	}
+	if n := len(s.segments); n > 0 && s.segments[n-1].size == 0 { // cut before its header was durable
+		if err := s.fs.Remove(s.segments[n-1].name); err != nil {
+			return fmt.Errorf("store: %w", err)
+		}
+		s.segments = s.segments[:n-1]
+	}
+	s.durable = s.seq
+	return s.resume()
+}
+
+// resume opens the last segment for writing behind its last record, and makes durable what was read: it may not be so yet,
+// as what the process before had not synced can be read though a power cut would lose it.
+func (s *Store) resume() error {
+	if len(s.segments) == 0 {
+		return nil
+	}
+	g := s.segments[len(s.segments)-1]
+	out, err := s.fs.Append(g.name, g.size)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	if err = out.Sync(); err == nil {
+		err = s.fs.SyncDir()
+	}
+	if err != nil {
+		out.Close()
+		return fmt.Errorf("store: %w", err)
+	}
+	s.out = out
+	return nil
+}
+
+// load reads a segment into the index, up to the first record of the next one, and returns where its records end; 0 if
+// not even its header is there. What stands at and behind that record was given up after a failure and written anew.
+func (s *Store) load(g *segment, next uint64) (end int64, err error) {
+	last := next == math.MaxUint64
+	f, err := s.fs.Open(g.name)
+	if err != nil {
+		return 0, fmt.Errorf("store: %w", err)
+	}
+	defer f.Close()
+	size, err := f.Size()
+	if err != nil {
+		return 0, fmt.Errorf("store: %w", err)
+	}
+	if size > 2<<30 {
+		return 0, &CorruptError{g.name, 0, errRecord}
+	}
+	b := make([]byte, size)
+	if _, err := io.ReadFull(io.NewSectionReader(f, 0, size), b); err != nil {
+		return 0, fmt.Errorf("store: %s: %w", g.name, err)
+	}
+	first, err := parseHeader(b)
+	switch {
+	case errors.Is(err, ErrVersion):
+		return 0, fmt.Errorf("%s: %w", g.name, err)
+	case err != nil && last && !anyRecord(b, g.first+1):
+		return 0, nil
+	case err != nil:
+		return 0, &CorruptError{g.name, 0, err}
+	case first != g.first:
+		return 0, &CorruptError{g.name, 0, fmt.Errorf("it begins with record %d", first)}
+	}
+	seq := g.first - 1
+	offset := headerSize
+	for offset < len(b) && seq+1 < next {
+		r, err := parse(b[offset:])
+		if err == nil && r.seq != seq+1 {
+			err = fmt.Errorf("record %d stands where %d belongs", r.seq, seq+1)
+		}
+		if err != nil {
+			if !last || anyRecord(b[offset:], seq+2) {
+				return 0, &CorruptError{g.name, int64(offset), err}
+			}
+			break // the cut
+		}
+		seq = r.seq
+		s.apply(r, g, offset)
+		offset += r.size()
+	}
+	s.seq = max(seq, g.first-1)
+	return int64(offset), nil
+}
+
+// anyRecord reports whether a whole record with a sequence of at least least stands anywhere in b that says that what
+// was before it had been durable. Such a record follows a bit that has flipped, never a cut.
+func anyRecord(b []byte, least uint64) bool {
+	for i := 0; i+recordHead <= len(b); i++ {
+		if r, err := parse(b[i:]); err == nil && r.seq >= least && r.durable+1 >= least {
+			return true
+		}
+	}
+	return false
+}
+
+// apply notes a record that lies in g at offset.
+func (s *Store) apply(r record, g *segment, offset int) {
+	s.at, g.last = max(s.at, r.at), max(g.last, r.at)
+	if r.kind == remove {
+		delete(s.index, string(r.key))
+		return
+	}
+	s.index[string(r.key)] = place{r.seq, r.at, g.first, uint32(offset), uint32(r.size())}
+}
+
+// Put writes a value under a key.
+func (s *Store) Put(key, value []byte, d Durability) error { return s.write(put, key, value, d) }
+
+// Delete takes a key out. It is no error if there is none.
+func (s *Store) Delete(key []byte, d Durability) error { return s.write(remove, key, nil, d) }
+
+func (s *Store) write(k kind, key, value []byte, d Durability) error {
+	if len(key) == 0 || len(key) > MostKey || len(value) > MostValue {
+		return ErrSize
+	}
+	s.mu.Lock()
+	seq, err := s.append(k, key, value)
+	s.mu.Unlock()
+	if err != nil || d == Buffered {
+		return err
+	}
+	return s.syncTo(seq)
+}
+
+// append appends a record under mu.
+func (s *Store) append(k kind, key, value []byte) (seq uint64, err error) {
+	if s.closed {
+		return 0, ErrClosed
+	}
+	s.expire()
+	if _, there := s.index[string(key)]; !there && k == put && len(s.index) >= s.o.MostKeys {
+		return 0, fmt.Errorf("%w: %d keys", ErrFull, len(s.index))
+	}
+	r := record{seq: s.seq + 1, at: max(s.at, s.o.Now().UnixNano()), kind: k, key: key, value: value, durable: s.durable}
+	if s.bytes()+int64(r.size()+headerSize) > s.o.MostBytes {
+		return 0, fmt.Errorf("%w: %d bytes", ErrFull, s.bytes())
+	}
+	g, err := s.room(r.size())
+	if err != nil {
+		s.failed = err
+		return 0, err
+	}
+	b := r.appendTo(nil)
+	if _, err := s.out.Write(b); err != nil {
+		s.failed = err
+		s.abandon()
+		return 0, fmt.Errorf("store: %w", err)
+	}
+	s.failed = nil
+	s.pending = append(s.pending, b...)
+	s.seq = r.seq
+	s.apply(r, g, int(g.size))
+	g.size += int64(len(b))
+	return r.seq, nil
+}
+
+// bytes is how long all segments are.
+func (s *Store) bytes() (n int64) {
+	for _, g := range s.segments {
+		n += g.size
+	}
+	return n
+}
+
+// room returns a segment with room for n bytes. The one before it is made durable first.
+func (s *Store) room(n int) (*segment, error) {
+	if s.out != nil {
+		g := s.segments[len(s.segments)-1]
+		if g.size+int64(n) <= s.o.SegmentBytes {
+			return g, nil
+		}
+		if err := s.out.Sync(); err != nil {
+			s.abandon()
+			return nil, fmt.Errorf("store: %w", err)
+		}
+		s.durable, s.pending = s.seq, nil
+		s.out.Close()
+		s.out = nil
+	}
+	return s.begin()
+}
+
+// begin begins a segment, with what has been written since the last sync if a sync has failed.
+func (s *Store) begin() (*segment, error) {
+	first := s.durable + 1
+	g := &segment{name: segmentName(first), first: first, last: s.at}
+	if n := len(s.segments); n > 0 && s.segments[n-1].first == first { // nothing of it was ever durable
+		s.segments = s.segments[:n-1]
+	}
+	if err := s.fs.Remove(g.name); err != nil && !notExist(err) {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	out, err := s.fs.Create(g.name)
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	b := append(appendHeader(nil, first), s.pending...)
+	if _, err = out.Write(b); err == nil {
+		if err = out.Sync(); err == nil {
+			err = s.fs.SyncDir()
+		}
+	}
+	if err != nil {
+		out.Close()
+		s.fs.Remove(g.name) // best effort: the next begin, or recovery, meets it again
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	for offset := headerSize; offset < len(b); {
+		r, err := parse(b[offset:])
+		if err != nil {
+			panic(err) // what this store has written itself
+		}
+		s.apply(r, g, offset)
+		offset += r.size()
+	}
+	g.size = int64(len(b))
+	s.segments, s.out, s.pending, s.durable = append(s.segments, g), out, nil, s.seq
+	return g, nil
+}
+
+// abandon gives up the file that is written to, after a failure that leaves unknown what of it is durable. What was
+// durable stays there; the rest is written anew with the next segment.
+func (s *Store) abandon() {
+	if s.out != nil {
+		s.out.Close()
+		s.out = nil
+	}
+}
+
+// syncTo returns once record seq is durable.
+func (s *Store) syncTo(seq uint64) error {
+	s.syncing.Lock() // those that come meanwhile find their records durable, or are the next to sync
+	defer s.syncing.Unlock()
+	s.mu.Lock()
+	if s.durable >= seq {
+		s.mu.Unlock()
+		return nil
+	}
+	if s.closed {
+		s.mu.Unlock()
+		return ErrClosed
+	}
+	if s.out == nil {
+		_, err := s.begin()
+		s.failed = err
+		s.mu.Unlock()
+		return err
+	}
+	out, to, n := s.out, s.seq, len(s.pending)
+	s.mu.Unlock()
+	err := out.Sync() // others append meanwhile
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.out != out { // another segment was begun, which made this one durable, or it was given up
+		if s.durable >= seq {
+			return nil
+		}
+		_, err := s.begin()
+		return err
+	}
+	if err != nil {
+		s.failed = err
+		s.abandon()
+		return fmt.Errorf("store: %w", err)
+	}
+	s.durable, s.pending = to, slices.Clone(s.pending[n:])
+	return nil
+}
+
+// Sync returns once everything that was written before is durable.
+func (s *Store) Sync() error {
+	s.mu.Lock()
+	seq := s.seq
+	s.mu.Unlock()
+	return s.syncTo(seq)
+}
+
+// Err returns why the last write could not be made, or nil once one could.
+func (s *Store) Err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+// expire removes segments all of whose records are older than the retention, under mu.
+func (s *Store) expire() {
+	oldest := s.oldest()
+	for len(s.segments) > 1 && s.segments[0].last < oldest {
+		g := s.segments[0]
+		if s.fs.Remove(g.name) != nil {
+			return // it is met again with the next write
+		}
+		s.segments = s.segments[1:]
+		for key, p := range s.index {
+			if p.file == g.first {
+				delete(s.index, key)
+			}
+		}
+	}
+}
+
+// oldest is the time before which records are not kept.
+func (s *Store) oldest() int64 {
+	if s.o.Retention == math.MaxInt64 {
+		return math.MinInt64
+	}
+	return max(s.at, s.o.Now().UnixNano()) - int64(s.o.Retention)
+}
+
+// Get returns the value under a key and when it was written, or ok false.
+func (s *Store) Get(key []byte) (value []byte, at time.Time, ok bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil, time.Time{}, false, ErrClosed
+	}
+	p, ok := s.index[string(key)]
+	if !ok || p.at < s.oldest() {
+		return nil, time.Time{}, false, nil
+	}
+	r, err := s.read(p)
+	if err != nil {
+		return nil, time.Time{}, false, err
+	}
+	if !bytes.Equal(r.key, key) {
+		return nil, time.Time{}, false, &CorruptError{segmentName(p.file), int64(p.offset), errRecord}
+	}
+	return r.value, time.Unix(0, r.at), true, nil
+}
+
+// read reads the record at a place.
+func (s *Store) read(p place) (record, error) {
+	f, err := s.fs.Open(segmentName(p.file))
+	if err != nil {
+		return record{}, fmt.Errorf("store: %w", err)
+	}
+	defer f.Close()
+	b := make([]byte, p.size)
+	if _, err := io.ReadFull(io.NewSectionReader(f, int64(p.offset), int64(p.size)), b); err != nil {
+		return record{}, fmt.Errorf("store: %s: %w", segmentName(p.file), err)
+	}
+	r, err := parse(b)
+	if err == nil && r.seq != p.seq {
+		err = errRecord
+	}
+	if err != nil {
+		return record{}, &CorruptError{segmentName(p.file), int64(p.offset), err}
+	}
+	return r, nil
+}
+
+// Range calls f with all keys written from one time to before another, in the order of their writing, until it returns
+// false. It sees the store as it was when it was called.
+func (s *Store) Range(from, to time.Time, f func(key, value []byte, at time.Time) bool) error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return ErrClosed
+	}
+	low := max(from.UnixNano(), s.oldest())
+	var places []place
+	for _, p := range s.index {
+		if p.at >= low && p.at < to.UnixNano() {
+			places = append(places, p)
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(places, func(a, b place) int { return int(int64(a.seq) - int64(b.seq)) })
+	for _, p := range places {
+		s.mu.Lock()
+		r, err := s.read(p)
+		s.mu.Unlock()
+		if notExist(err) {
+			continue // it has expired meanwhile
+		}
+		if err != nil {
+			return err
+		}
+		if !f(r.key, r.value, time.Unix(0, r.at)) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// Len returns how many keys there are, expired ones too that still take room.
+func (s *Store) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.index)
+}
+
+// Close makes everything durable and closes the store.
+func (s *Store) Close() error {
+	err := s.Sync()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return ErrClosed
+	}
+	s.closed = true
+	if s.out != nil {
+		err = errors.Join(err, s.out.Close())
+	}
+	return errors.Join(err, s.lock.Close())
+}
