Drop two things that the library's change left unused

Cause: an accessor of attempts and three fields of the demo's progress were written and never read. Change: they are gone. Measured: vet is clean, the engine's and the demo's tests are green; nothing that runs has changed.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -37,12 +37,11 @@
 
 // Progress is how far a demo is.
 type Progress struct {
-	At                      time.Duration
-	Asked, Served, Open     int
-	Refused, Failed         int
-	Event                   string // what has just happened; empty: nothing
-	P50, P99                time.Duration
-	Boxes, Draining, Erring int
+	At                  time.Duration
+	Asked, Served, Open int
+	Refused, Failed     int
+	Event               string // what has just happened; empty: nothing
+	P50, P99            time.Duration
 }
 
 // ClassReport is what became of one class.
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -70,9 +70,6 @@
 // Name is the client's own name of the request.
 func (a *Attempt) Name() string { return a.req.Name }
 
-// Retry reports whether the client said that it had asked before.
-func (a *Attempt) Retry() bool { return a.req.Retry }
-
 // cancel calls the attempt off. Its goroutine tells the outcome.
 func (a *Attempt) cancel() {
 	a.mu.Lock()
