--- a/balancer.go
+++ b/balancer.go
@@ -122,7 +122,7 @@
 	log       *slog.Logger
 }
 
-// New starts a Balancer. An error is a *FieldError that names the field of c at fault.
+// New starts a Balancer. An error holds a *FieldError for each field of c at fault that was found, by errors.As.
 func New(c Config, opts ...Option) (*Balancer, error) {
 	p, err := c.plan()
 	if err != nil {
--- a/config.go
+++ b/config.go
@@ -1,6 +1,8 @@
 package quillfront
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
 	"math"
 	"time"
@@ -126,42 +128,26 @@
 
 var groups = map[Group]policy.Group{AllServers: policy.GroupAll, SameZone: policy.GroupZone, SameCell: policy.GroupCell}
 
-// limits returns l with its defaults.
+// withDefaults returns l with its defaults.
 func (l Limits) withDefaults() (Limits, error) {
-	for _, f := range []struct {
-		name              string
-		value             *int64
-		usual, least, top int64
-	}{
-		{"BodyBytes", &l.BodyBytes, 16 << 20, httpmsg.MaxBody, math.MaxInt64},
-		{"DialTimeout", (*int64)(&l.DialTimeout), int64(250 * time.Millisecond), 1, int64(time.Minute)},
-		{"IdleTimeout", (*int64)(&l.IdleTimeout), int64(15 * time.Second), 1, int64(time.Hour)},
-		{"RetryAfter", (*int64)(&l.RetryAfter), int64(time.Second), 1, int64(time.Hour)},
-	} {
-		if *f.value == 0 {
-			*f.value = f.usual
-		}
-		if *f.value < f.least || *f.value > f.top {
-			return l, wrong("Limits."+f.name, "%d is outside %d to %d", *f.value, f.least, f.top)
-		}
-	}
-	for _, f := range []struct {
-		name              string
-		value             *int
-		usual, least, top int
-	}{
-		{"Attempts", &l.Attempts, 3, 1, mostAttempts},
-		{"Requests", &l.Requests, 4096, 1, 1 << 20},
-		{"Connections", &l.Connections, 256, 16, 1 << 20},
-	} {
-		if *f.value == 0 {
-			*f.value = f.usual
-		}
-		if *f.value < f.least || *f.value > f.top {
-			return l, wrong("Limits."+f.name, "%d is outside %d to %d", *f.value, f.least, f.top)
-		}
+	err := errors.Join(
+		bound("BodyBytes", &l.BodyBytes, 16<<20, httpmsg.MaxBody, math.MaxInt64),
+		bound("DialTimeout", &l.DialTimeout, 250*time.Millisecond, 1, time.Minute),
+		bound("IdleTimeout", &l.IdleTimeout, 15*time.Second, 1, time.Hour),
+		bound("RetryAfter", &l.RetryAfter, time.Second, 1, time.Hour),
+		bound("Attempts", &l.Attempts, 3, 1, mostAttempts),
+		bound("Requests", &l.Requests, 4096, 1, 1<<20),
+		bound("Connections", &l.Connections, 256, 16, 1<<20),
+	)
+	return l, err
+}
+
+// bound gives a limit its usual value if it is zero, and checks it.
+func bound[T ~int | ~int64](name string, v *T, usual, least, most T) error {
+	if *v = cmp.Or(*v, usual); *v < least || *v > most {
+		return wrong("Limits."+name, "%v is outside %v to %v", *v, least, most)
 	}
-	return l, nil
+	return nil
 }
 
 func (c Class) convert(field string) (policy.Class, error) {
@@ -218,11 +204,11 @@
 		return plan{}, err
 	}
 	p := policy.Config{
-		Ordinal: c.Instance, GroupSize: orElse(c.Instances, 1), Zone: c.Zone,
+		Ordinal: c.Instance, GroupSize: cmp.Or(c.Instances, 1), Zone: c.Zone,
 		MayProbe: c.Reports != Never, MayCancel: !c.NoCancel, MayDuplicate: !c.NoSecondCopies, HintsRetry: true,
 		MaxAttempts: limits.Attempts, MaxRetryAfter: limits.RetryAfter, DialTimeout: limits.DialTimeout,
 		ConnIdle: limits.IdleTimeout, Tick: tick, InlineReports: c.Reports == InAnswer, AskEvery: askEvery,
-		ColdFrom: orElse(c.Cold.From, 0.3), Ramp: orElse(c.Cold.Ramp, 9*time.Second), ProbeTariff: probeTariff,
+		ColdFrom: cmp.Or(c.Cold.From, 0.3), Ramp: cmp.Or(c.Cold.Ramp, 9*time.Second), ProbeTariff: probeTariff,
 	}
 	p.Ramp = max(p.Ramp, 0)
 	switch {
@@ -272,14 +258,6 @@
 	}, nil
 }
 
-func orElse[T comparable](v, other T) T {
-	var zero T
-	if v == zero {
-		return other
-	}
-	return v
-}
-
 // planJSON reads the platform's configuration. What concerns a listener is not used.
 func planJSON(text []byte) (plan, error) {
 	c, err := config.Parse(text)
--- a/http.go
+++ b/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -175,20 +176,16 @@
 	if q.URL == nil {
 		return nil, &RequestError{http.StatusBadRequest, "the request has no URL"}
 	}
-	call := httpcall.Call{Method: orElse(q.Method, http.MethodGet), Target: q.URL.RequestURI(), Length: q.ContentLength}
+	call := httpcall.Call{Method: cmp.Or(q.Method, http.MethodGet), Target: q.URL.RequestURI(), Length: q.ContentLength}
 	if q.Body == nil || q.Body == http.NoBody {
 		call.Length = 0
 	} else if q.ContentLength == 0 {
 		call.Length = -1 // as net/http has it: unknown
 	}
-	for _, name := range httpcall.Names() {
-		if values := q.Header[name]; len(values) > 0 {
-			if err := call.AddValues(name, values); err != nil {
-				return nil, requestError(err)
-			}
-		}
+	if err := call.AddHeader(q.Header); err != nil {
+		return nil, requestError(err)
 	}
-	if call.Host = orElse(q.Host, q.URL.Host); strings.ContainsAny(call.Host, "\r\n \t/") {
+	if call.Host = cmp.Or(q.Host, q.URL.Host); strings.ContainsAny(call.Host, "\r\n \t/") {
 		return nil, &RequestError{http.StatusBadRequest, "the host cannot be sent"}
 	}
 	if call.ID == "" {
@@ -230,12 +227,7 @@
 		return
 	}
 	call := httpcall.Call{Method: q.Method, Target: targetOf(q), Length: q.ContentLength}
-	var err error
-	for _, name := range httpcall.Names() {
-		if values := q.Header[name]; len(values) > 0 && err == nil {
-			err = call.AddValues(name, values)
-		}
-	}
+	err := requestError(call.AddHeader(q.Header))
 	call.Host = q.Host
 	var a *upstream.Answer
 	if err == nil {
@@ -276,7 +268,6 @@
 func writeError(w http.ResponseWriter, err error) {
 	var refused *RefusedError
 	var request *RequestError
-	var rejection httpcall.Rejection
 	switch {
 	case errors.As(err, &refused):
 		if refused.RetryAfter > 0 {
@@ -287,8 +278,6 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case errors.As(err, &request):
 		http.Error(w, request.Reason, request.Status)
-	case errors.As(err, &rejection):
-		http.Error(w, rejection.Text, rejection.Status)
 	default:
 		w.WriteHeader(http.StatusBadGateway)
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -416,12 +417,12 @@
 func (r *Report) Write(w io.Writer) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%-18s %7s %7s %6s %8s %7s %9s %9s\n", "class", "asked", "served", "late", "refused", "failed", "p50 ms", "p99 ms")
-	for _, name := range sortedKeys(r.Classes) {
+	for _, name := range slices.Sorted(maps.Keys(r.Classes)) {
 		c := r.Classes[name]
 		fmt.Fprintf(&b, "%-18s %7d %7d %6d %8d %7d %9.1f %9.1f\n", name, c.Asked, c.Served, c.Late, c.Refused, c.Failed, c.P50, c.P99)
 	}
 	fmt.Fprintf(&b, "\n%-18s %7s %7s  %s\n", "box", "sends", "share", "")
-	for _, name := range sortedKeys(r.Boxes) {
+	for _, name := range slices.Sorted(maps.Keys(r.Boxes)) {
 		x := r.Boxes[name]
 		fmt.Fprintf(&b, "%-18s %7d %6.1f%%  %s\n", name, x.Requests, 100*x.Share, x.Note)
 	}
@@ -442,12 +443,3 @@
 	_, err := io.WriteString(w, b.String())
 	return err
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -46,9 +46,6 @@
 // names are the headers that Add knows, in canonical form.
 var names = [7]string{"X-Request-Id", "Idempotency-Key", "X-Tenant-Id", "X-Timeout-Ms", "Host", "X-Cost", "X-Retried"}
 
-// Names returns the headers that a Call is read from, in canonical form.
-func Names() []string { return names[:] }
-
 // Add notes a line of the head. Lines that say nothing to the protocol are skipped.
 func (c *Call) Add(f httpmsg.Field) error {
 	for i, name := range names {
@@ -59,11 +56,13 @@
 	return nil
 }
 
-// AddValues notes all lines of one name, which must be one of Names.
-func (c *Call) AddValues(name string, values []string) error {
-	for _, v := range values {
-		if err := c.Add(httpmsg.Field{Name: []byte(name), Value: []byte(v)}); err != nil {
-			return err
+// AddHeader notes what h says, whose names are in canonical form.
+func (c *Call) AddHeader(h http.Header) error {
+	for i, name := range names {
+		for _, v := range h[name] {
+			if err := c.set(i, []byte(v)); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -5,6 +5,7 @@
 package standin
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -110,8 +111,8 @@
 	if cfg.ID == "" {
 		return nil, errors.New("standin: a box without ID")
 	}
-	cfg.Cores, cfg.Waiting = orElse(cfg.Cores, 2), orElse(cfg.Waiting, 64)
-	cfg.ColdFrom, cfg.Ramp, cfg.Multiple = orElse(cfg.ColdFrom, 0.31), orElse(cfg.Ramp, 8600*time.Millisecond), orElse(cfg.Multiple, 2.5)
+	cfg.Cores, cfg.Waiting = cmp.Or(cfg.Cores, 2), cmp.Or(cfg.Waiting, 64)
+	cfg.ColdFrom, cfg.Ramp, cfg.Multiple = cmp.Or(cfg.ColdFrom, 0.31), cmp.Or(cfg.Ramp, 8600*time.Millisecond), cmp.Or(cfg.Multiple, 2.5)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("standin: box %s: %w", cfg.ID, err)
@@ -135,14 +136,6 @@
 	return b, nil
 }
 
-func orElse[T comparable](v, other T) T {
-	var zero T
-	if v == zero {
-		return other
-	}
-	return v
-}
-
 // ID returns its name.
 func (b *Box) ID() string { return b.cfg.ID }
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -49,18 +50,18 @@
 		via = "inline"
 	}
 	file := object{
-		"name": "standin", "listen": orElse(p.Listen, "127.0.0.1:0"), "discovery": orElse(p.Discovery, "127.0.0.1:1"),
+		"name": "standin", "listen": cmp.Or(p.Listen, "127.0.0.1:0"), "discovery": cmp.Or(p.Discovery, "127.0.0.1:1"),
 		"seed":   fmt.Sprintf("%x", p.Seed),
-		"limits": object{"cores": 1, "memory_mb": 128, "sockets": orElse(p.Sockets, 512)},
+		"limits": object{"cores": 1, "memory_mb": 128, "sockets": cmp.Or(p.Sockets, 512)},
 		"settings": object{
 			"GroupSize": 1, "Ordinal": 0, "Zone": p.Zone, "MembershipMode": mode, "TickUs": 1000,
 			"Limits": object{
-				"Cancelling": true, "MayDuplicate": true, "Probes": !p.NoProbes, "RetryAfter": true, "SendCap": orElse(p.Attempts, 3),
+				"Cancelling": true, "MayDuplicate": true, "Probes": !p.NoProbes, "RetryAfter": true, "SendCap": cmp.Or(p.Attempts, 3),
 				"DialTimeoutUs": 250_000, "ConnIdleUs": 15_000_000, "MaxRetryAfterUs": 1_000_000,
 			},
 			"RequestClasses": classes,
 			"Safety": object{
-				"AskEveryUs": orElse(p.AskEvery, time.Second).Microseconds(), "GraceToAnswerUs": 20_000, "ColdFrom": 0.31,
+				"AskEveryUs": cmp.Or(p.AskEvery, time.Second).Microseconds(), "GraceToAnswerUs": 20_000, "ColdFrom": 0.31,
 				"RampTimeUs": p.Ramp.Microseconds(),
 			},
 			"Tariffs":   object{"Probe": 0.05},
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -95,7 +95,7 @@
 		}
 		c := list[len(list)-1]
 		list[len(list)-1] = nil
-		p.setIdle(to, list[:len(list)-1])
+		p.idle[to] = list[:len(list)-1] // an empty one goes with closeIdle or hangUp: upstreams come and go for ever
 		p.mu.Unlock()
 		c.setUntil(deadline)
 		if time.Since(c.since) < p.idleFor && c.quiet() {
@@ -105,9 +105,6 @@
 	}
 }
 
-// setIdle replaces an upstream's list. An empty one goes with closeIdle or hangUp: upstreams come and go for ever.
-func (p *pool) setIdle(to engine.Endpoint, list []*conn) { p.idle[to] = list }
-
 // setUntil sets the deadline of an exchange.
 func (c *conn) setUntil(t time.Time) {
 	c.until, c.first = t, time.Time{}
@@ -159,7 +156,7 @@
 		if n == len(list) {
 			delete(p.idle, to)
 		} else if n > 0 {
-			p.setIdle(to, slices.Clone(list[n:]))
+			p.idle[to] = slices.Clone(list[n:])
 		}
 	}
 	p.mu.Unlock()
--- a/source.go
+++ b/source.go
@@ -1,6 +1,7 @@
 package quillfront
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -55,7 +56,7 @@
 		if _, _, err := net.SplitHostPort(s.Addr); err != nil {
 			return l, wrong(entry+".Addr", "%v", err)
 		}
-		s.ID = orElse(s.ID, s.Addr)
+		s.ID = cmp.Or(s.ID, s.Addr)
 		if seen[s.ID] {
 			return l, wrong(entry+".ID", "%q is there twice", s.ID)
 		}
--- a/store/fs.go
+++ b/store/fs.go
@@ -20,7 +20,6 @@
 	// Open opens a file for reading.
 	Open(name string) (Reader, error)
 	Remove(name string) error
-	Rename(from, to string) error
 	// List returns the names of all files, in order.
 	List() ([]string, error)
 	SyncDir() error
@@ -90,8 +89,6 @@
 
 func (d dir) Remove(name string) error { return os.Remove(d.path(name)) }
 
-func (d dir) Rename(from, to string) error { return os.Rename(d.path(from), d.path(to)) }
-
 func (d dir) List() ([]string, error) {
 	entries, err := os.ReadDir(string(d))
 	if err != nil {
--- a/store/memfs_test.go
+++ b/store/memfs_test.go
@@ -170,17 +170,6 @@
 	return nil
 }
 
-func (m *memFS) Rename(from, to string) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.step(1) < 1 {
-		return errCut
-	}
-	m.files[to] = m.files[from]
-	delete(m.files, from)
-	return nil
-}
-
 func (m *memFS) List() ([]string, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
