Turn away messages whose Connection names a field meant for all

Cause: a connection option takes the field of its name out on the way. "Connection: close, Idempotency-Key" on a keyed request was obeyed, so that the server got the order without its key, could not drop a repeat, and an attempt made again ran twice; "Connection: X-Request-ID" took the id away. RFC 9110, 7.6.1 forbids such options.

Change: what the protocol reads, and the fields of routing, content and authority, cannot be named: a request gets 400 and nothing is sent, in the daemon, the handler and the round tripper; an answer of a server that does it cannot be read, so that its attempt may have run. Other options work as before.

--- a/balancer_test.go
+++ b/balancer_test.go
@@ -240,6 +240,8 @@
 	f, servers := fleet(t, standin.BoxConfig{})
 	b, _ := balancer(t, Static(servers...))
 	rt := b.RoundTripper()
+	nominating := post(t.Context(), "order", "k", nil)
+	nominating.Header.Set("Connection", "close, idempotency-key")
 	_, err := rt.RoundTrip(get("/novel/k"))
 	if !errors.Is(err, ErrUnknownClass) {
 		t.Errorf("unknown class: %v", err)
@@ -247,6 +249,7 @@
 	for name, q := range map[string]*http.Request{
 		"no URL":                 {Method: http.MethodGet},
 		"no key":                 post(t.Context(), "order", "", nil),
+		"a key taken out":        nominating,
 		"a host that cannot be":  {Method: http.MethodGet, URL: get("/read").URL, Host: "a\r\nX: y"},
 		"a method of a sentence": {Method: "GET / HTTP/1.1\r\n", URL: get("/read").URL},
 	} {
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -192,6 +192,8 @@
 		{"a folded line", "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: 0\nX-A: b\n Transfer-Encoding: chunked\n\n", 400},
 		{"requests in one go", "GET /read/k HTTP/1.1\nHost: s\nX-Request-ID: 1\n\nGET /read/k HTTP/1.1\nHost: s\nX-Request-ID: 2\n\n", 400},
 		{"keyed class without a key", "POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: 0\n\n", 400},
+		{"a key taken out on the way", "POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nIdempotency-Key: k\nConnection: close, Idempotency-Key\nContent-Length: 0\n\n", 400},
+		{"an id taken out on the way", "GET /read/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nConnection: X-Request-ID\n\n", 400},
 		{"senseless length", "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: many\n\n", 400},
 		{"over 64 KiB", fmt.Sprintf("POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: %d\n\n", httpmsg.MaxBody+1), 413},
 		{"broken chunk", "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nTransfer-Encoding: chunked\n\nzz\n", 400},
--- a/internal/daemon/upstream_test.go
+++ b/internal/daemon/upstream_test.go
@@ -97,6 +97,8 @@
 		{"silence in the body", serving(say("HTTP/1.1 200 OK\nContent-Length: 9\n\nabc")), plainGet, policy.Reset, 502},
 		{"silence in the head", serving(say("HTTP/1.1 200 OK\nContent-")), plainGet, policy.Reset, 502},
 		{"both lengths", serving(say("HTTP/1.1 200 OK\nContent-Length: 2\nTransfer-Encoding: chunked\n\n2\nok\n0\n\n")), plainGet, policy.Reset, 502},
+		{"a type taken out on the way", serving(say("HTTP/1.1 200 OK\nConnection: Content-Type\nContent-Type: a/b\nContent-Length: 0\n\n")), plainGet, policy.Reset, 502},
+		{"a proof taken out on the way", serving(say("HTTP/1.1 503 No\nConnection: X-Not-Processed\nX-Not-Processed: 1\nContent-Length: 0\n\n")), plainGet, policy.Reset, 502},
 		{"not usable", serving(say("HTTP/1.1 404 No\nContent-Length: 0\n\n")), plainGet, policy.Rejected, 502},
 	}
 	for _, tt := range tests {
--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -58,6 +58,9 @@
 
 // AddHeader notes what h says, whose names are in canonical form.
 func (c *Call) AddHeader(h http.Header) error {
+	if err := httpmsg.CheckConnection(h); err != nil {
+		return bad(err.Error())
+	}
 	for i, name := range names {
 		for _, v := range h[name] {
 			if err := c.set(i, []byte(v)); err != nil {
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -452,7 +452,7 @@
 		ans = httpcall.Rejection{Status: http.StatusRequestTimeout, Text: "the request did not come whole in time"}
 	case errors.Is(err, httpmsg.ErrHeadTooLong):
 		ans = httpcall.Rejection{Status: http.StatusRequestHeaderFieldsTooLarge, Text: err.Error()}
-	case errors.Is(err, httpmsg.ErrHead) || errors.Is(err, httpmsg.ErrFraming):
+	case errors.Is(err, httpmsg.ErrHead) || errors.Is(err, httpmsg.ErrFraming) || errors.Is(err, httpmsg.ErrNominated):
 		ans.Text = err.Error()
 	}
 	if !s.enter(c, lingering) {
--- a/internal/httpmsg/head.go
+++ b/internal/httpmsg/head.go
@@ -8,8 +8,11 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"net/http/httputil"
+	"slices"
 	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -26,6 +29,7 @@
 	ErrHead        = errors.New("the head cannot be read")
 	ErrFraming     = errors.New("the head gives the length of its body in more than one way")
 	ErrBodyTooLong = errors.New("the body is over 64 KiB")
+	ErrNominated   = errors.New("Connection names a field that is meant for every recipient")
 )
 
 // Field is one line of a head. Both parts lie in the reader's buffer.
@@ -159,6 +163,8 @@
 					h.Close = true
 				case equalFold(option, "keep-alive"):
 					h.Keep = true
+				case meantForAll(option):
+					return ErrNominated
 				case len(option) > 0:
 					h.listed = append(h.listed, option)
 				}
@@ -255,6 +261,37 @@
 	return false
 }
 
+// throughNames are meant for every recipient on the way: what the protocol between an application, its sidecar and servers
+// is read from, and what says where a message goes, what it holds and who sent it.
+var throughNames = []string{
+	"Idempotency-Key", "X-Request-ID", "X-Timeout-Ms", "X-Tenant-Id", "X-Cost", "X-Retried", "X-Attrs",
+	"X-Not-Processed", "X-Server-Load", "Retry-After",
+	"Host", "Authorization", "Cookie", "Set-Cookie", "Www-Authenticate", "Origin", "Via", "Forwarded", "Max-Forwards",
+	"X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto", "Traceparent", "Tracestate", "Date", "Location", "Allow",
+	"Content-Length", "Content-Type", "Content-Encoding", "Content-Language", "Content-Location", "Content-Range",
+	"Content-Disposition", "Accept", "Accept-Encoding", "Accept-Language", "Range", "If-Match", "If-None-Match",
+	"If-Modified-Since", "If-Unmodified-Since", "If-Range", "Cache-Control", "Expires", "Age", "Vary", "Etag", "Last-Modified",
+}
+
+// meantForAll reports whether no connection option may be of that name (RFC 9110, section 7.6.1). It guards against a
+// sender that has a field taken out on the way which the next recipient goes by: without its key a server cannot drop a
+// repeat, and without its type a body is read as another.
+func meantForAll(option []byte) bool {
+	return slices.ContainsFunc(throughNames, func(name string) bool { return equalFold(option, name) })
+}
+
+// CheckConnection returns ErrNominated if h has a connection option that no message may have.
+func CheckConnection(h http.Header) error {
+	for _, v := range h["Connection"] {
+		for option := range strings.SplitSeq(v, ",") {
+			if meantForAll([]byte(strings.Trim(option, " \t"))) {
+				return ErrNominated
+			}
+		}
+	}
+	return nil
+}
+
 // Append appends the field as a line.
 func (f Field) Append(b []byte) []byte {
 	b = append(b, f.Name...)
--- a/internal/httpmsg/httpmsg_test.go
+++ b/internal/httpmsg/httpmsg_test.go
@@ -43,6 +43,8 @@
 		{"a control character", "GET / HTTP/1.1\nA: \x00\n\n", ErrHead, 0, false, false},
 		{"a bare CR", "GET / HTTP/1.1\nA: b\rContent-Length: 3\n\n", ErrHead, 0, false, false},
 		{"an empty first line", "\nGET / HTTP/1.1\n\n", ErrHead, 0, false, false},
+		{"a field for all named by Connection", "GET / HTTP/1.1\nConnection: close, idempotency-KEY\n\n", ErrNominated, 0, false, false},
+		{"the same in a second line", "GET / HTTP/1.1\nConnection: close\nA: b\nConnection: x-a,\tHost ,\n\n", ErrNominated, 0, false, false},
 		{"cut off", "GET / HTTP/1.1\nHost", io.EOF, 0, false, false},
 		{"without end", "GET / HTTP/1.1\nA: " + strings.Repeat("x", 2000), ErrHeadTooLong, 0, false, false},
 	} {
