Reject targets that are of one class here and of another at a server

Cause: the class was read off the path as it stood, while a server may resolve dot segments and undo escapes first: /allocation-check/../delivery-order/f7, and the same with %2e or %2f, passed as a request that is safe to repeat.

Change: dot segments in any spelling (also before a path parameter, behind an encoded slash or a backslash), an encoded slash, a backslash or a control up to the end of the class, a fragment, and characters that no target may have (which closes line breaks in a query of the round tripper's) give 400, in one function for all fronts.

--- a/balancer_test.go
+++ b/balancer_test.go
@@ -250,6 +250,7 @@
 		"no URL":                 {Method: http.MethodGet},
 		"no key":                 post(t.Context(), "order", "", nil),
 		"a key taken out":        nominating,
+		"dots out of the class":  get("/read/%2e%2e/order/k"),
 		"a host that cannot be":  {Method: http.MethodGet, URL: get("/read").URL, Host: "a\r\nX: y"},
 		"a method of a sentence": {Method: "GET / HTTP/1.1\r\n", URL: get("/read").URL},
 	} {
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -44,7 +44,7 @@
 	big := strings.Repeat("0123456789abcdef", httpmsg.MaxBody/16)
 	tests := []struct{ name, line, headers, body string }{
 		{"plain", "GET /read/k", "", ""},
-		{"target kept byte for byte", "GET /read/a%2Fb//c/../%41?x=1&&y=%20;z", "", ""},
+		{"target kept byte for byte", "GET /read/a%2Fb//c/..d/%41?x=1&&y=%20;z/../", "", ""},
 		{"characters that URLs escape", `GET /read/"<k>|^`, "", ""},
 		{"keyed", "POST /order/k", "Idempotency-Key: 5C0f\nX-Novel: 1\n", "body"},
 		{"unsafe, no body", "POST /pay/k", "", ""},
@@ -194,6 +194,7 @@
 		{"keyed class without a key", "POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: 0\n\n", 400},
 		{"a key taken out on the way", "POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nIdempotency-Key: k\nConnection: close, Idempotency-Key\nContent-Length: 0\n\n", 400},
 		{"an id taken out on the way", "GET /read/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nConnection: X-Request-ID\n\n", 400},
+		{"dots out of the class", "GET /read/../order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\n\n", 400},
 		{"senseless length", "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: many\n\n", 400},
 		{"over 64 KiB", fmt.Sprintf("POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: %d\n\n", httpmsg.MaxBody+1), 413},
 		{"broken chunk", "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nTransfer-Encoding: chunked\n\nzz\n", 400},
--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -5,7 +5,6 @@
 
 import (
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -107,7 +106,7 @@
 	if c.ID == "" {
 		return nil, bad("no X-Request-ID")
 	}
-	path, err := pathOf(c.Target)
+	path, err := PathOf(c.Target)
 	if err != nil {
 		return nil, err
 	}
@@ -142,19 +141,3 @@
 	}
 	return r, nil
 }
-
-// pathOf is the path of a target without its first slash, as clients mean it.
-func pathOf(target string) (string, error) {
-	if !strings.HasPrefix(target, "/") {
-		return "", bad("no Host, or no path")
-	}
-	path, _, _ := strings.Cut(target[1:], "?")
-	if strings.IndexByte(path, '%') >= 0 {
-		plain, err := url.PathUnescape(path)
-		if err != nil {
-			return "", bad("the path cannot be read")
-		}
-		path = plain
-	}
-	return path, nil
-}
--- /dev/null
+++ b/internal/httpcall/target_test.go
@@ -0,0 +1,27 @@
+package httpcall
+
+import "testing"
+
+// TestPathOf guards against paths that are of one class here and of another at a server.
+func TestPathOf(t *testing.T) {
+	for target, want := range map[string]string{
+		"/read/k": "read/k", "/read": "read", "/read?a=/../b": "read", "/re%61d/k": "read/k", "/read//k": "read//k",
+		"/read/a%2Fb": "read/a/b", "/read/a%5cb%00": "read/a\\b\x00", "/read/...": "read/...", "/read/a.b/..c": "read/a.b/..c",
+		"/read/k;v=1": "read/k;v=1", "/read/%252e%252e/k": "read/%2e%2e/k", "/": "", "//read/k": "/read/k",
+	} {
+		if got, err := PathOf(target); err != nil || got != want {
+			t.Errorf("%s: %q, %v; want %q", target, got, err, want)
+		}
+	}
+	for _, target := range []string{
+		"", "read/k", "*", "http://s/read/k", "/read/../order/k", "/read/%2e%2E/order/k", "/read/.%2e/order/k", "/read%2f..%2forder%2fk",
+		"/read/x%2f..%2f..%2forder/k", "/read/..", "/read/.", "/./read/k", "/../read/k", "/read/..;/order/k", "/read/..%3bx/order/k",
+		"/read\\..\\order\\k", "/read/x\\..\\..\\order", "/read%5c..%5corder", "/read/%2e%2e%5corder", "/re%00ad/k", "/read%0d/k", "/read%7f/k",
+		"/read%2Fk", "/read%5ck", "/read\\k", "/read/%", "/read/%2", "/read/%zz", "/read/k#x", "/read/k?a#x", "/read/a b", "/read/a\tb",
+		"/read/k?a b", "/read/\r\nX: y", "/read/\x7f", "/read/%+1",
+	} {
+		if got, err := PathOf(target); err == nil {
+			t.Errorf("%q is taken as %q", target, got)
+		}
+	}
+}
