Check Host, and what the protocol reads of a header, alike on all fronts

Cause: "Host: a b/c" passed through the daemon, as only the round tripper looked at it. Trying the round tripper with headers that net/http does not check showed more of the kind: a key with a line break was noted and then left out of what was sent, so that the server had no key; "Idempotency-Key" beside "idempotency-key" sent two; an id that was there but empty was sent beside the one made up.

Change: Host is a name, an IPv4 address or an IPv6 address in brackets, with a port or without (RFC 9110, 7.2), and lacks only with HTTP/1.0. Header names count in any case, values that no line may hold are rejected where the protocol reads them, and the id is written once.

--- a/balancer_test.go
+++ b/balancer_test.go
@@ -240,6 +240,11 @@
 	f, servers := fleet(t, standin.BoxConfig{})
 	b, _ := balancer(t, Static(servers...))
 	rt := b.RoundTripper()
+	unwritable := post(t.Context(), "order", "k\n", nil)
+	twice := post(t.Context(), "order", "k", nil)
+	twice.Header["idempotency-key"] = []string{"other"}
+	injected := get("/read/k")
+	injected.URL.RawQuery = "a HTTP/1.1\r\nX-Evil: 1"
 	nominating := post(t.Context(), "order", "k", nil)
 	nominating.Header.Set("Connection", "close, idempotency-key")
 	_, err := rt.RoundTrip(get("/novel/k"))
@@ -247,12 +252,15 @@
 		t.Errorf("unknown class: %v", err)
 	}
 	for name, q := range map[string]*http.Request{
-		"no URL":                 {Method: http.MethodGet},
-		"no key":                 post(t.Context(), "order", "", nil),
-		"a key taken out":        nominating,
-		"dots out of the class":  get("/read/%2e%2e/order/k"),
-		"a host that cannot be":  {Method: http.MethodGet, URL: get("/read").URL, Host: "a\r\nX: y"},
-		"a method of a sentence": {Method: "GET / HTTP/1.1\r\n", URL: get("/read").URL},
+		"no URL":                  {Method: http.MethodGet},
+		"no key":                  post(t.Context(), "order", "", nil),
+		"a key taken out":         nominating,
+		"a key not to be written": unwritable,
+		"a key in two cases":      twice,
+		"lines in the query":      injected,
+		"dots out of the class":   get("/read/%2e%2e/order/k"),
+		"a host that cannot be":   {Method: http.MethodGet, URL: get("/read").URL, Host: "a\r\nX: y"},
+		"a method of a sentence":  {Method: "GET / HTTP/1.1\r\n", URL: get("/read").URL},
 	} {
 		var request *RequestError
 		if _, err := rt.RoundTrip(q); !errors.As(err, &request) {
@@ -281,6 +289,12 @@
 	if got := body2(t, rt, post(t.Context(), "pay", "", nil)); got != "POST /pay/k 0" {
 		t.Errorf("a nil body: %q", got)
 	}
+	// An id that is there and empty is made up, and written once.
+	q = get("/read/k")
+	q.Header["X-Request-Id"] = []string{""}
+	if got := body2(t, rt, q); got != "GET /read/k 0" {
+		t.Errorf("an empty id: %q", got)
+	}
 	// Lines that would end a line are not passed on.
 	q = get("/read/k")
 	q.Header["X-Evil"] = []string{"a\r\nX-Request-Id: other"}
--- a/http.go
+++ b/http.go
@@ -38,10 +38,8 @@
 		return nil, requestError(err)
 	}
 	m := &upstream.Message{Method: call.Method, Target: call.Target, Host: call.Host}
-	m.Lines = httpmsg.AppendHeader(nil, header, ownHeader)
-	if header.Get("X-Request-Id") == "" {
-		m.Lines = httpmsg.Field{Name: []byte("X-Request-ID"), Value: []byte(call.ID)}.Append(m.Lines)
-	}
+	m.Lines = httpmsg.Field{Name: []byte("X-Request-ID"), Value: []byte(call.ID)}.Append(nil)
+	m.Lines = httpmsg.AppendHeader(m.Lines, header, ownHeader)
 	r.Payload = m
 	release, err := b.readBody(ctx, call, m, read)
 	if err != nil {
@@ -106,9 +104,10 @@
 	return err
 }
 
-// ownHeader reports whether lines of that name are written by the transport itself.
+// ownHeader reports whether lines of that name are not copied from the header: the transport writes them itself, and the id
+// is written once whether it came or was made up.
 func ownHeader(name string) bool {
-	return strings.EqualFold(name, "Host") || strings.EqualFold(name, "X-Timeout-Ms")
+	return strings.EqualFold(name, "Host") || strings.EqualFold(name, "X-Timeout-Ms") || strings.EqualFold(name, "X-Request-ID")
 }
 
 // readBody reads the body into m once there is room for it. release gives the room back.
@@ -185,9 +184,7 @@
 	if err := call.AddHeader(q.Header); err != nil {
 		return nil, requestError(err)
 	}
-	if call.Host = cmp.Or(q.Host, q.URL.Host); strings.ContainsAny(call.Host, "\r\n \t/") {
-		return nil, &RequestError{http.StatusBadRequest, "the host cannot be sent"}
-	}
+	call.Host = cmp.Or(q.Host, q.URL.Host)
 	if call.ID == "" {
 		call.ID = b.newID()
 	}
@@ -228,7 +225,7 @@
 	}
 	call := httpcall.Call{Method: q.Method, Target: targetOf(q), Length: q.ContentLength}
 	err := requestError(call.AddHeader(q.Header))
-	call.Host = q.Host
+	call.Host, call.HostMayLack = q.Host, !q.ProtoAtLeast(1, 1)
 	var a *upstream.Answer
 	if err == nil {
 		var read func(int64) ([]byte, error)
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -194,6 +194,7 @@
 		{"keyed class without a key", "POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: 0\n\n", 400},
 		{"a key taken out on the way", "POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nIdempotency-Key: k\nConnection: close, Idempotency-Key\nContent-Length: 0\n\n", 400},
 		{"an id taken out on the way", "GET /read/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nConnection: X-Request-ID\n\n", 400},
+		{"a host that is none", "GET /read/k HTTP/1.1\nHost: a b/c\nX-Request-ID: 1\n\n", 400},
 		{"dots out of the class", "GET /read/../order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\n\n", 400},
 		{"senseless length", "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: many\n\n", 400},
 		{"over 64 KiB", fmt.Sprintf("POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: %d\n\n", httpmsg.MaxBody+1), 413},
--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"quillfront/internal/engine"
 	"quillfront/internal/httpmsg"
 	"quillfront/policy"
@@ -35,6 +37,8 @@
 	Host   string
 	Length int64 // of the body; negative: not told
 
+	HostMayLack bool // as it may with HTTP/1.0
+
 	ID, IdempotencyKey, Tenant, Timeout string
 	Cost                                time.Duration
 	Retried                             bool
@@ -55,15 +59,24 @@
 	return nil
 }
 
-// AddHeader notes what h says, whose names are in canonical form.
+// AddHeader notes what h says, in whatever case its names are: all of them are written as lines. It guards against a key or
+// an id that is noted here and then cannot be written, so that the server would not have it.
 func (c *Call) AddHeader(h http.Header) error {
 	if err := httpmsg.CheckConnection(h); err != nil {
 		return bad(err.Error())
 	}
-	for i, name := range names {
-		for _, v := range h[name] {
-			if err := c.set(i, []byte(v)); err != nil {
-				return err
+	for name, values := range h {
+		for i := range names {
+			if len(name) != len(names[i]) || !strings.EqualFold(name, names[i]) || names[i] == "Host" {
+				continue // of Host, net/http writes what stands beside the header
+			}
+			for _, v := range values {
+				if !httpguts.ValidHeaderFieldValue(v) {
+					return bad(names[i] + " has a character that no line may have")
+				}
+				if err := c.set(i, []byte(strings.Trim(v, " \t"))); err != nil {
+					return err
+				}
 			}
 		}
 	}
@@ -106,6 +119,9 @@
 	if c.ID == "" {
 		return nil, bad("no X-Request-ID")
 	}
+	if !validHost(c.Host) && !(c.Host == "" && c.HostMayLack) {
+		return nil, bad("no Host, or not one that can be read")
+	}
 	path, err := PathOf(c.Target)
 	if err != nil {
 		return nil, err
--- a/internal/httpcall/target.go
+++ b/internal/httpcall/target.go
@@ -1,8 +1,11 @@
 package httpcall
 
 import (
+	"net/netip"
 	"strconv"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // PathOf returns the path of a request target without its first slash and as clients mean it, that is with its escapes
@@ -76,3 +79,49 @@
 	}
 	return string(b), true
 }
+
+// validHost reports whether s can be the value of Host: a registered name, an IPv4 address or an IPv6 address in brackets,
+// and perhaps a port (RFC 9110, section 7.2; RFC 3986, section 3.2.2). An empty one names nobody. It guards against a value
+// that ends the line, names a path or a user, or that a server and whoever routes by it would split in different places.
+func validHost(s string) bool {
+	if s == "" || !httpguts.ValidHostHeader(s) {
+		return false
+	}
+	name, port := s, ""
+	if strings.HasPrefix(s, "[") {
+		end := strings.IndexByte(s, ']')
+		if end < 0 {
+			return false
+		}
+		addr, err := netip.ParseAddr(s[1:end])
+		if err != nil || !addr.Is6() || addr.Zone() != "" {
+			return false
+		}
+		name, port = "", s[end+1:]
+	} else if i := strings.IndexByte(s, ':'); i >= 0 {
+		name, port = s[:i], s[i:]
+		if name == "" {
+			return false
+		}
+	}
+	if strings.ContainsAny(name, "[]") {
+		return false
+	}
+	if _, ok := unescape(name); !ok {
+		return false
+	}
+	if port == "" || port == ":" {
+		return true
+	}
+	n, ok := strings.CutPrefix(port, ":")
+	if !ok {
+		return false
+	}
+	for i := range len(n) {
+		if n[i] < '0' || n[i] > '9' {
+			return false
+		}
+	}
+	_, err := strconv.ParseUint(n, 10, 16)
+	return err == nil
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -338,9 +338,7 @@
 		}
 		lines += len(f.Name) + len(f.Value) + len(": \r\n")
 	}
-	if call.Host == "" && minor > 0 {
-		return nil, last, httpcall.Rejection{Status: http.StatusBadRequest, Text: "no Host, or no path"}
-	}
+	call.HostMayLack = minor == 0
 	r, err := call.Request(s.engine)
 	if err != nil {
 		return nil, last, err
