Put requests and answers into httpmsg, below front and transport

Cause: httpfront imported upstream for the type of an answer, while ARCHITECTURE says that it knows nothing of servers' connections.

Change: Message and Answer stand in httpmsg. A test holds who may import whom, for all packages with such a rule.

Measured: TestImports names the import on the code before.

--- /dev/null
+++ b/architecture_test.go
@@ -0,0 +1,36 @@
+package quillfront
+
+import (
+	"go/build"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// TestImports holds what docs/ARCHITECTURE.md says of who knows whom: no front knows a transport or another front, no
+// transport a front, the engine no protocol, and what is without I/O opens nothing.
+func TestImports(t *testing.T) {
+	for dir, never := range map[string][]string{
+		"internal/httpfront": {"quillfront/internal/upstream", "quillfront/internal/discovery", "quillfront"},
+		"internal/upstream":  {"quillfront/internal/httpfront", "quillfront/internal/httpcall", "quillfront/internal/discovery"},
+		"internal/discovery": {"quillfront/internal/httpfront", "quillfront/internal/upstream"},
+		"internal/httpmsg":   {"quillfront/internal/", "net"},
+		"internal/httpcall":  {"quillfront/internal/upstream", "net", "io", "os"},
+		"internal/engine":    {"quillfront/internal/", "net", "net/http"},
+		"policy":             {"quillfront/", "net", "net/http", "os", "io", "sync"},
+		"store":              {"quillfront"},
+	} {
+		p, err := build.ImportDir(dir, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(p.Imports) == 0 {
+			t.Errorf("%s imports nothing: the test looks in the wrong place", dir)
+		}
+		for _, name := range p.Imports {
+			if slices.ContainsFunc(never, func(n string) bool { return n == name || strings.HasSuffix(n, "/") && strings.HasPrefix(name, n) }) {
+				t.Errorf("%s imports %s", dir, name)
+			}
+		}
+	}
+}
--- a/http.go
+++ b/http.go
@@ -17,7 +17,6 @@
 	"quillfront/internal/engine"
 	"quillfront/internal/httpcall"
 	"quillfront/internal/httpmsg"
-	"quillfront/internal/upstream"
 )
 
 // ownEnd is how much later than its caller's deadline a request ends by itself. The caller's end is thus always the first
@@ -25,7 +24,7 @@
 const ownEnd = 20 * time.Millisecond
 
 // do carries out one request whose answer is wanted until ctx ends. read returns its body, at most once, and may be nil.
-func (b *Balancer) do(ctx context.Context, call *httpcall.Call, header http.Header, read func(limit int64) ([]byte, error)) (*upstream.Answer, error) {
+func (b *Balancer) do(ctx context.Context, call *httpcall.Call, header http.Header, read func(limit int64) ([]byte, error)) (*httpmsg.Answer, error) {
 	if !b.places.TryAcquire(1) {
 		return nil, &RefusedError{}
 	}
@@ -37,7 +36,7 @@
 	if err != nil {
 		return nil, requestError(err)
 	}
-	m := &upstream.Message{Method: call.Method, Target: call.Target, Host: call.Host}
+	m := &httpmsg.Message{Method: call.Method, Target: call.Target, Host: call.Host}
 	m.Lines = httpmsg.Field{Name: []byte("X-Request-ID"), Value: []byte(call.ID)}.Append(nil)
 	m.Lines = httpmsg.AppendHeader(m.Lines, header, ownHeader)
 	r.Payload = m
@@ -78,10 +77,10 @@
 }
 
 // result is what the caller gets of an engine's result.
-func (b *Balancer) result(r engine.Result) (*upstream.Answer, error) {
+func (b *Balancer) result(r engine.Result) (*httpmsg.Answer, error) {
 	switch r.Kind {
 	case engine.Served:
-		if a, ok := r.Reply.(*upstream.Answer); ok {
+		if a, ok := r.Reply.(*httpmsg.Answer); ok {
 			return a, nil
 		}
 	case engine.Refused:
@@ -111,7 +110,7 @@
 }
 
 // readBody reads the body into m once there is room for it. release gives the room back.
-func (b *Balancer) readBody(ctx context.Context, call *httpcall.Call, m *upstream.Message, read func(int64) ([]byte, error)) (release func(), err error) {
+func (b *Balancer) readBody(ctx context.Context, call *httpcall.Call, m *httpmsg.Message, read func(int64) ([]byte, error)) (release func(), err error) {
 	n := call.Length
 	if n < 0 {
 		n = httpmsg.MaxBody // its length shows at its end
@@ -226,7 +225,7 @@
 	call := httpcall.Call{Method: q.Method, Target: targetOf(q), Length: q.ContentLength}
 	err := requestError(call.AddHeader(q.Header))
 	call.Host, call.HostMayLack = q.Host, !q.ProtoAtLeast(1, 1)
-	var a *upstream.Answer
+	var a *httpmsg.Answer
 	if err == nil {
 		var read func(int64) ([]byte, error)
 		if call.Length != 0 {
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -23,7 +23,6 @@
 	"quillfront/internal/httpcall"
 	"quillfront/internal/httpmsg"
 	"quillfront/internal/sockets"
-	"quillfront/internal/upstream"
 )
 
 const (
@@ -289,7 +288,7 @@
 }
 
 // ready is the answer to a probe of readiness.
-var ready = &upstream.Answer{}
+var ready = &httpmsg.Answer{}
 
 // persistence is what a request says of its connection.
 type persistence int
@@ -343,7 +342,7 @@
 	if err != nil {
 		return nil, last, err
 	}
-	m := &upstream.Message{Method: call.Method, Target: call.Target, Host: call.Host, Lines: make([]byte, 0, lines)}
+	m := &httpmsg.Message{Method: call.Method, Target: call.Target, Host: call.Host, Lines: make([]byte, 0, lines)}
 	expects := false
 	for _, f := range c.head.Fields {
 		switch {
@@ -465,7 +464,7 @@
 }
 
 // readBody reads the body once there is room for it.
-func (s *Server) readBody(c *clientConn, r *engine.Request, m *upstream.Message, length int64, expects bool) error {
+func (s *Server) readBody(c *clientConn, r *engine.Request, m *httpmsg.Message, length int64, expects bool) error {
 	n := length
 	if n < 0 {
 		n = httpmsg.MaxBody // its length shows at its end
@@ -519,7 +518,7 @@
 	status, body, lines := http.StatusBadGateway, []byte(nil), []byte(nil)
 	switch result.Kind {
 	case engine.Served:
-		if a, ok := result.Reply.(*upstream.Answer); ok {
+		if a, ok := result.Reply.(*httpmsg.Answer); ok {
 			status, body, lines = http.StatusOK, a.Body, a.Lines
 		}
 	case engine.Refused:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -223,17 +223,8 @@
 
 func (e errNotWritten) Unwrap() error { return e.error }
 
-// Message is a request as servers are sent it: the payload of an engine.Request on this transport.
-type Message struct {
-	Method string
-	Target string // as the client wrote it
-	Host   string
-	Lines  []byte // the further lines of its head, each ended by CRLF: none that this transport writes itself
-	Body   []byte
-}
-
 // write writes m and its time left.
-func (c *conn) write(m *Message, left time.Duration) error {
+func (c *conn) write(m *httpmsg.Message, left time.Duration) error {
 	w := c.w
 	w.WriteString(m.Method)
 	w.WriteByte(' ')
@@ -260,7 +251,7 @@
 }
 
 // exchange writes m and reads the head of the answer, which then stands in c.head and still in c.r.
-func (c *conn) exchange(m *Message, left time.Duration) (code, minor int, err error) {
+func (c *conn) exchange(m *httpmsg.Message, left time.Duration) (code, minor int, err error) {
 	if err := c.write(m, left); err != nil {
 		return 0, 0, errNotWritten{err}
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -21,7 +21,7 @@
 		far.Close()
 	}()
 	c := newConn(near, engine.Endpoint{}, func() {})
-	m := &Message{Method: "POST", Target: "/order/k", Host: "s", Body: []byte(strings.Repeat("x", httpmsg.MaxBody))}
+	m := &httpmsg.Message{Method: "POST", Target: "/order/k", Host: "s", Body: []byte(strings.Repeat("x", httpmsg.MaxBody))}
 	var notWritten errNotWritten
 	if _, _, err := c.exchange(m, time.Second); !errors.As(err, &notWritten) {
 		t.Errorf("error %v, want one that tells that nothing has run", err)
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"quillfront/internal/engine"
+	"quillfront/internal/httpmsg"
 	"quillfront/internal/settings"
 	"quillfront/internal/sockets"
 	"quillfront/policy"
@@ -27,13 +28,7 @@
 	mostLoad = 1e9
 )
 
-// Answer is a server's whole 200 answer: the reply of an attempt on this transport. Nobody changes it.
-type Answer struct {
-	Lines []byte // of its head, each ended by CRLF, but those that concern one connection only
-	Body  []byte // at most httpmsg.MaxBody
-}
-
-// Transport implements engine.Transport over HTTP/1.1. Its requests' payloads are *Message, its replies *Answer.
+// Transport implements engine.Transport over HTTP/1.1. Its requests' payloads are *httpmsg.Message, its replies *httpmsg.Answer.
 type Transport struct {
 	pool   pool
 	fields []string // names of the figures in a load report
@@ -105,16 +100,16 @@
 		c.Close()
 		return engine.Ending{Status: policy.Canceled}
 	}
-	m, _ := a.Payload().(*Message)
+	m, _ := a.Payload().(*httpmsg.Message)
 	code, minor, err := c.exchange(m, max(time.Until(a.Deadline), 1))
 	if err != nil {
 		c.Close()
 		return t.broken(a, err)
 	}
 	end := engine.Ending{Status: policy.OK}
-	var answer *Answer
+	var answer *httpmsg.Answer
 	if code == http.StatusOK {
-		answer = &Answer{}
+		answer = &httpmsg.Answer{}
 	} else if end.Status = policy.AppError; code/100 == 4 {
 		end.Status = policy.Rejected
 	}
@@ -194,7 +189,7 @@
 		}
 	}
 	defer context.AfterFunc(ctx, c.hangUp)()
-	code, minor, err := c.exchange(&Message{Method: http.MethodGet, Target: "/load", Host: to.Addr}, 0)
+	code, minor, err := c.exchange(&httpmsg.Message{Method: http.MethodGet, Target: "/load", Host: to.Addr}, 0)
 	var body []byte
 	last := false
 	if err == nil {
