Announce how long a client's connection is kept, and look before closing

Cause: the daemon closes an idle connection after 2.1 s and told nobody, so that a POST which crossed the close was lost to a client that may not send it again.

Change: answers that keep their connection say "Keep-Alive: timeout=2", the whole seconds below the limit. When the wait for a next request ends by its time, the kernel is asked whether something has come meanwhile; if so it is served. An answer to HEAD has no body. Weighed and left: a longer limit while few connections are open (it holds more of them), and closing one direction first (the client's error is another one, and the request as lost).

FuzzConnection plays any bytes in any pieces on a connection in memory and in virtual time: one answer a request, nothing behind the last, an end within a minute.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"bytes"
-	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 
@@ -22,22 +20,9 @@
 	addr := peer(b, func(_ int, c net.Conn) {
 		r := bufio.NewReader(c)
 		for {
-			length := 0
-			for { // a head, as cheaply as can be
-				line, err := r.ReadSlice('\n')
-				if err != nil {
-					return
-				}
-				if value, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
-					for _, c := range bytes.TrimSpace(value) {
-						length = 10*length + int(c-'0')
-					}
-				}
-				if len(line) == 2 {
-					break
-				}
+			if _, err := skim(r); err != nil {
+				return
 			}
-			r.Discard(length)
 			c.Write(answer)
 		}
 	})
@@ -51,10 +36,32 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		c.Write(request)
-		resp, err := http.ReadResponse(r, nil)
-		if err != nil || resp.StatusCode != http.StatusOK {
-			b.Fatalf("answer %v, %v", resp, err)
+		if ok, err := skim(r); err != nil || !ok {
+			b.Fatalf("served %v, %v", ok, err)
 		}
-		io.Copy(io.Discard, resp.Body)
 	}
 }
+
+// skim reads a message as cheaply as can be, and reports whether its first line tells of a 200.
+func skim(r *bufio.Reader) (ok bool, err error) {
+	length := 0
+	for first := true; ; first = false {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return false, err
+		}
+		if first {
+			ok = bytes.HasPrefix(line, []byte("HTTP/1.1 200 "))
+		}
+		if value, is := bytes.CutPrefix(line, []byte("Content-Length: ")); is {
+			for _, c := range bytes.TrimSpace(value) {
+				length = 10*length + int(c-'0')
+			}
+		}
+		if len(line) == 2 {
+			break
+		}
+	}
+	_, err = r.Discard(length)
+	return ok, err
+}
--- /dev/null
+++ b/internal/httpfront/connection_fuzz_test.go
@@ -0,0 +1,184 @@
+package httpfront
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quillfront/internal/engine"
+	"quillfront/internal/httpmsg"
+	"quillfront/internal/sockets"
+	"quillfront/policy"
+)
+
+// simple is a module that sends each request once.
+type simple struct{ engine.Module }
+
+func (simple) Members(policy.Time, policy.ListKind, []policy.Server, policy.Actions) {}
+
+func (simple) Request(_ policy.Time, q policy.Request, act policy.Actions) {
+	act.Send(q.ID, "a", time.Second)
+}
+
+func (simple) Outcome(_ policy.Time, o policy.Outcome, act policy.Actions) {
+	if !o.Closed {
+		act.Fail(o.ID)
+	}
+}
+
+func (simple) Withdrawn(_ policy.Time, id policy.RequestID, act policy.Actions) { act.Cancel(id, 0) }
+
+// numbering answers each attempt, after some time, with its number.
+type numbering struct{ n atomic.Int64 }
+
+func (f *numbering) Do(a *engine.Attempt, _ engine.Endpoint) engine.Ending {
+	n := f.n.Add(1)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	called := make(chan struct{})
+	if !a.OnCancel(func() { close(called) }) {
+		return engine.Ending{Status: policy.Canceled}
+	}
+	select {
+	case <-ctx.Done():
+	case <-called:
+		return engine.Ending{Status: policy.Canceled}
+	}
+	if !a.OnCancel(nil) {
+		return engine.Ending{Status: policy.Canceled}
+	}
+	return engine.Ending{Status: policy.OK, Reply: &httpmsg.Answer{Body: strconv.AppendInt(nil, n, 10)}}
+}
+
+func (*numbering) Probe(context.Context, engine.Endpoint) (policy.Status, *policy.Load) {
+	return policy.Moot, nil
+}
+
+func (*numbering) HangUp(engine.Endpoint) {}
+
+var classes = []policy.Class{{Name: "read", Effect: policy.Safe, Deadline: time.Second}, {Name: "pay", Effect: policy.Unsafe, Deadline: time.Second}}
+
+// TestConnection: what FuzzConnection counts is there. Two requests, the second behind the answer to the first, have two answers.
+func TestConnection(t *testing.T) {
+	first := "GET /read/k HTTP/1.1\r\nHost: s\r\nX-Request-ID: 1\r\n\r\n"
+	text := first + "POST /pay/k HTTP/1.1\r\nHost: s\r\nX-Request-ID: 2\r\nContent-Length: 4\r\n\r\nbody"
+	for _, cuts := range [][]byte{{byte(len(first)) | 0x80, 0xff}, {byte(len(first)) | 0x80, 3}} {
+		synctest.Test(t, func(t *testing.T) {
+			if n, err := connection(classes, []byte(text), cuts, false); n != 2 || err != nil {
+				t.Errorf("%d answers, %v", n, err)
+			}
+		})
+	}
+}
+
+// FuzzConnection: whatever a client writes and in whatever pieces, each request has at most one answer, nothing is written
+// that is no answer, what was turned away is the last, and the connection ends in bounded time.
+func FuzzConnection(f *testing.F) {
+	get := "GET /read/k HTTP/1.1\r\nHost: s\r\nX-Request-ID: 1\r\n\r\n"
+	post := "POST /pay/k HTTP/1.1\r\nHost: s\r\nX-Request-ID: 2\r\nContent-Length: 4\r\n\r\nbody"
+	chunks := "POST /pay/k HTTP/1.1\r\nHost: s\r\nX-Request-ID: 3\r\nTransfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for _, text := range []string{get, get + get, post, post + get, chunks, chunks + post + get, "GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n" + get, "HELLO\r\n\r\n", get[:20]} {
+		f.Add([]byte(text), []byte{255}, true)
+		f.Add([]byte(text), []byte{7, 130, 1}, false)
+		f.Add([]byte(text), []byte{byte(min(len(text), 127)), 200}, false)
+	}
+	f.Fuzz(func(t *testing.T, text, cuts []byte, half bool) {
+		if len(text) > 1<<14 || len(cuts) > 64 {
+			return
+		}
+		synctest.Test(t, func(t *testing.T) {
+			if _, err := connection(classes, text, cuts, half); err != nil {
+				t.Error(err)
+			}
+		})
+	})
+}
+
+// connection writes text to a server, cut by cuts: each tells the length of a piece, and by its high bit a pause behind it.
+func connection(classes []policy.Class, text, cuts []byte, half bool) (answers int, err error) {
+	transport := &numbering{}
+	log := slog.New(slog.DiscardHandler)
+	e := engine.New(engine.Options{
+		Config: policy.Config{Classes: classes}, Module: simple{}, Transport: transport, Log: log,
+		Known: &engine.List{Whole: true, Servers: []engine.Server{{ID: "a", Addr: "nowhere", State: policy.Ready}}},
+	})
+	defer e.Close()
+	s := New(e, NewRoom(24), sockets.New(64), log)
+	near, far := net.Pipe()
+	s.take(far, func() {})
+	var client sync.WaitGroup
+	defer client.Wait()
+	client.Go(func() {
+		for i := 0; len(text) > 0; i++ {
+			n := len(text)
+			if len(cuts) > 0 {
+				n = min(n, max(1, int(cuts[i%len(cuts)]&0x7f)))
+			}
+			if _, err := near.Write(text[:n]); err != nil {
+				return
+			}
+			if text = text[n:]; len(cuts) > 0 && cuts[i%len(cuts)]&0x80 != 0 {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		if half { // a pipe has no end of one direction only
+			time.Sleep(time.Second)
+			near.Close()
+		}
+	})
+	began := time.Now()
+	out, err := io.ReadAll(near)
+	if err != nil && !half {
+		near.Close()
+		return 0, fmt.Errorf("the connection broke: %w", err)
+	}
+	near.Close()
+	s.open.Wait()
+	if d := time.Since(began); d > time.Minute {
+		return 0, fmt.Errorf("the connection ended after %v", d)
+	}
+	served := map[string]bool{}
+	over := false
+	for r := bufio.NewReader(bytes.NewReader(out)); ; {
+		if _, err := r.Peek(1); err != nil {
+			break
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return 0, fmt.Errorf("no answer: %w in %q", err, out)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return 0, fmt.Errorf("half an answer: %w in %q", err, out)
+		}
+		switch {
+		case over:
+			return 0, fmt.Errorf("an answer behind the last one: %q", out)
+		case resp.StatusCode == http.StatusContinue:
+			continue
+		case resp.StatusCode == http.StatusOK && len(body) > 0:
+			if served[string(body)] {
+				return 0, fmt.Errorf("two answers to one request: %q", out)
+			}
+			served[string(body)] = true
+		case resp.StatusCode != http.StatusOK && !resp.Close:
+			return 0, fmt.Errorf("%d does not end the connection: %q", resp.StatusCode, out)
+		}
+		over = resp.Close
+	}
+	if n := transport.n.Load(); int64(len(served)) > n {
+		return 0, fmt.Errorf("%d served, and %d sent", len(served), n)
+	}
+	return len(served), nil
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -39,6 +39,10 @@
 	// idleTime is how long a client's connection may stand idle; 2 s are owed. Guards against clients that ask once
 	// and keep their connection for good. A client that asks more seldom pays with a new connection each time.
 	idleTime = 2100 * time.Millisecond
+	// keepAlive tells clients how long a connection is kept, in the whole seconds below idleTime. It guards against requests
+	// that cross the close: those that may not be repeated are lost to the client. Clients that honour it, as Node's
+	// http.Agent does with a second to spare, open a new connection instead.
+	keepAlive = "Keep-Alive: timeout=2\r\n"
 	// crowdShare is the part of the clients' places from which an answer is the last one on its connection.
 	crowdShare = 0.4
 	// quietLeast is how long a connection has been quiet at least when it is closed to make room: a new one's
@@ -103,6 +107,7 @@
 	scratch []byte       // for answers
 	more    chan error   // how the wait for what comes next has ended
 	waiting bool         // that wait is under way
+	bare    bool         // the answer to the present request has no body
 	phase   phase
 	since   time.Time   // of that phase
 	heard   atomic.Bool // something has been read since it fell quiet
@@ -137,17 +142,22 @@
 			time.Sleep(acceptRetry)
 			continue
 		}
-		c := &clientConn{
-			Conn: nc, release: release, peek: sockets.NewPeeker(nc), since: time.Now(), more: make(chan error, 1),
-		}
-		c.r = bufio.NewReaderSize(c, mostClientHead)
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
-		s.open.Go(func() { s.serve(c) })
+		s.take(nc, release)
 	}
 }
 
+// take serves a new connection, and calls release once it has ended.
+func (s *Server) take(nc net.Conn, release func()) {
+	c := &clientConn{
+		Conn: nc, release: release, peek: sockets.NewPeeker(nc), since: time.Now(), more: make(chan error, 1),
+	}
+	c.r = bufio.NewReaderSize(c, mostClientHead)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	s.open.Go(func() { s.serve(c) })
+}
+
 // enter notes that c has come to a phase, and reports whether it may: one that was closed to make room may not.
 func (s *Server) enter(c *clientConn, p phase) bool {
 	s.mu.Lock()
@@ -264,11 +274,11 @@
 	for until := c.since.Add(headTime); ; until = time.Now().Add(idleTime) {
 		first := c.phase == fresh
 		c.SetReadDeadline(until) // also of the wait that is under way
-		if err := c.next(); err != nil || !s.enter(c, reading) {
+		if err := c.next(); err != nil && !s.crossed(c, err) || !s.enter(c, reading) {
 			return
 		}
-		if !first {
-			c.SetReadDeadline(time.Now().Add(headTime))
+		if now := time.Now(); !first || now.After(until) {
+			c.SetReadDeadline(now.Add(headTime))
 		}
 		r, keep, err := s.read(c)
 		if err != nil {
@@ -287,6 +297,18 @@
 	}
 }
 
+// crossed reports whether something had come when the wait for it ended by its time. It guards against closing on a request
+// that is there already: on a busy machine the goroutine that was to read it may get its turn only after the deadline, and
+// the close would reset a request that the client may not repeat. It costs a look at the connection when it ends.
+func (s *Server) crossed(c *clientConn, err error) bool {
+	if !isTimeout(err) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.peek.SomethingCame()
+}
+
 // ready is the answer to a probe of readiness.
 var ready = &httpmsg.Answer{}
 
@@ -309,6 +331,7 @@
 	if err != nil {
 		return nil, last, err
 	}
+	c.bare = string(method) == http.MethodHead
 	keep := stays
 	switch {
 	case c.head.Close || minor == 0 && !c.head.Keep:
@@ -456,8 +479,13 @@
 		return
 	}
 	c.SetDeadline(time.Now().Add(lingerTime))
-	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s\n",
-		ans.Status, http.StatusText(ans.Status), len(ans.Text)+1, ans.Text)
+	body := ans.Text + "\n"
+	length := len(body)
+	if c.bare { // RFC 9110, section 9.3.2: the length that a body would have had
+		body = ""
+	}
+	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
+		ans.Status, http.StatusText(ans.Status), length, body)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
 		io.CopyN(io.Discard, c.r, httpmsg.MaxBody)
 	}
@@ -534,7 +562,9 @@
 	case last:
 		b = append(b, "Connection: close\r\n"...)
 	case spoken:
-		b = append(b, "Connection: keep-alive\r\n"...)
+		b = append(b, "Connection: keep-alive\r\n"+keepAlive...)
+	default:
+		b = append(b, keepAlive...)
 	}
 	if result.RetryAfter > 0 {
 		b = append(b, "Retry-After: "...)
--- a/internal/sockets/peek.go
+++ b/internal/sockets/peek.go
@@ -10,7 +10,8 @@
 type Peeker struct {
 	raw     syscall.RawConn
 	look    func(fd uintptr)
-	nothing bool
+	nothing bool // the kernel had nothing
+	bytes   bool // the kernel had bytes
 	b       [1]byte
 }
 
@@ -23,8 +24,9 @@
 		}
 	}
 	p.look = func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), p.b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(int(fd), p.b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		p.nothing = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		p.bytes = err == nil && n > 0
 	}
 	return p
 }
@@ -37,3 +39,12 @@
 	p.nothing = false
 	return p.raw.Control(p.look) == nil && p.nothing
 }
+
+// SomethingCame reports whether the kernel has bytes that are still to be read.
+func (p *Peeker) SomethingCame() bool {
+	if p.raw == nil {
+		return false
+	}
+	p.bytes = false
+	return p.raw.Control(p.look) == nil && p.bytes
+}
