Hold all forms to one corpus of raw requests and answers, and mend what it found

What they found is mended: chunks in an HTTP/1.0 answer were read as chunks, where net/http reads to the end; a trailer of any bytes passed; the round tripper left out header lines that cannot be written, where net/http's client gives an error; the handler answered a request that it rejected only once net/http's server had waited for its body; it answered /healthz with a query, which the daemon does not.

--- a/http.go
+++ b/http.go
@@ -218,18 +218,20 @@
 
 // ServeHTTP is the method of http.Handler.
 func (b handler) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	if q.URL.Path == "/healthz" && q.Method == http.MethodGet && q.ContentLength == 0 {
+	call := httpcall.Call{Method: q.Method, Target: targetOf(q), Length: q.ContentLength}
+	if call.Target == "/healthz" && q.Method == http.MethodGet && q.ContentLength == 0 {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
-	call := httpcall.Call{Method: q.Method, Target: targetOf(q), Length: q.ContentLength}
 	err := requestError(call.AddHeader(q.Header))
 	call.Host, call.HostMayLack = q.Host, !q.ProtoAtLeast(1, 1)
 	var a *httpmsg.Answer
+	unread := call.Length != 0
 	if err == nil {
 		var read func(int64) ([]byte, error)
 		if call.Length != 0 {
 			read = func(limit int64) ([]byte, error) {
+				unread = false
 				body, err := readAll(q.Body, call.Length, limit)
 				if err != nil {
 					err = &RequestError{http.StatusBadRequest, "the body did not come whole"}
@@ -239,11 +241,16 @@
 		}
 		a, err = b.do(q.Context(), &call, q.Header, read)
 	}
+	header := w.Header()
 	if err != nil {
+		var request *RequestError
+		if q.ProtoMajor == 1 && (unread || errors.As(err, &request)) {
+			// Else net/http's server would wait for a body that nobody wants before it answers.
+			header.Set("Connection", "close")
+		}
 		writeError(w, err)
 		return
 	}
-	header := w.Header()
 	for name, values := range httpmsg.ParseHeader(a.Lines) {
 		header[name] = values
 	}
--- a/internal/conformance/conformance.go
+++ b/internal/conformance/conformance.go
@@ -55,6 +55,7 @@
 	Kind       Kind
 	Status     int // Rejected: as HTTP has it
 	Body       string
+	Header     http.Header   // Served
 	RetryAfter time.Duration // Refused
 	Err        error         // Broken
 }
@@ -98,7 +99,7 @@
 	}
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		return Answer{Kind: Served, Body: string(body)}
+		return Answer{Kind: Served, Body: string(body), Header: resp.Header}
 	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
 		after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		return Answer{Kind: Refused, RetryAfter: time.Duration(after * float64(time.Second))}
--- /dev/null
+++ b/internal/conformance/edge.go
@@ -0,0 +1,462 @@
+package conformance
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"quillfront/internal/engine"
+	"quillfront/internal/httpmsg"
+	"quillfront/internal/standin"
+	"quillfront/policy"
+)
+
+// The forms as the edge's corpus names them.
+const (
+	Daemon       = "daemon"
+	Handler      = "handler"
+	RoundTripper = "round tripper"
+)
+
+// RequestCase is one request of the corpus as a client writes it, and what must hold of the answer and of the bytes that
+// reach the server.
+type RequestCase struct {
+	Name string
+	// Raw has CRLF for each newline, unless Exact; the mark ~ID~ stands for an id that was never used.
+	Raw   string
+	Exact bool
+	Half  bool // the client ends its sending behind it
+	Head  bool // its answer has no body
+	// Want is the status codes of all final answers, and then "open" if the connection carries a further request, or "close".
+	Want string
+	// Sent are lines that the server gets, Never parts of lines that it does not. It gets as many requests as there are 200s.
+	Sent, Never []string
+	// Differs has other forms' Want, each with a reason.
+	Differs map[string]Difference
+	// SocketsOnly tells why the round tripper is not asked, where it could be.
+	SocketsOnly string
+}
+
+// Difference is what another form does, and why it may.
+type Difference struct{ Want, Reason string }
+
+// AnswerCase is one answer of a server's as it writes it, and what must hold of the client's answer.
+type AnswerCase struct {
+	Name  string
+	Class string // "pay" if empty: it may not be tried again once it may have run
+	// Raw has CRLF for each newline, unless Exact. An empty one is silence.
+	Raw   string
+	Exact bool
+	Ends  bool // the server ends the connection behind it
+	// Want is what becomes of the request.
+	Want Kind
+	Body string // of a served one
+	// Lines are in the client's answer, Never are lines, or names of lines, that are not.
+	Lines, Never []string
+	Wait         string // the client's, in ms
+	Sent         int    // how often the request reaches a server; 0 is once
+	Kept         bool   // the server's connection carries the next request
+}
+
+// Edge is a form with its bytes. A round tripper has no address.
+type Edge struct {
+	Name string
+	Addr string
+	Form
+}
+
+// StartEdge starts a form by the platform's configuration, until the test ends.
+type StartEdge func(t testing.TB, config []byte) Edge
+
+// arrival is one request as the server got it.
+type arrival struct {
+	conn int
+	raw  string
+}
+
+// rawServer is a server that reads no more of HTTP than where a request ends, and keeps what it got.
+type rawServer struct {
+	ln     net.Listener
+	done   sync.WaitGroup
+	mu     sync.Mutex
+	conns  []net.Conn
+	got    []arrival
+	answer func(id string) (text string, ends bool)
+}
+
+const plainOK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func startRaw(t testing.TB) *rawServer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{ln: ln, answer: func(string) (string, bool) { return plainOK, false }}
+	s.done.Go(func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			s.done.Go(func() { s.serve(n, c) })
+		}
+	})
+	t.Cleanup(func() {
+		ln.Close()
+		s.mu.Lock()
+		for _, c := range s.conns {
+			c.Close()
+		}
+		s.mu.Unlock()
+		s.done.Wait()
+	})
+	return s
+}
+
+// serve reads requests of one connection. Whatever does not belong to one shows as the beginning of another.
+func (s *rawServer) serve(n int, c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		var raw bytes.Buffer
+		length := 0
+		for {
+			line, err := r.ReadBytes('\n')
+			raw.Write(line)
+			if err != nil {
+				if raw.Len() > 0 {
+					s.note(n, raw.String())
+				}
+				return
+			}
+			if value, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
+				length, _ = strconv.Atoi(string(bytes.TrimSpace(value)))
+			}
+			if len(bytes.TrimRight(line, "\r\n")) == 0 {
+				break
+			}
+		}
+		io.CopyN(&raw, r, int64(length))
+		s.note(n, raw.String())
+		_, id, _ := strings.Cut(strings.ToLower(raw.String()), "\r\nx-request-id: ")
+		id, _, _ = strings.Cut(id, "\r\n")
+		s.mu.Lock()
+		answer := s.answer
+		s.mu.Unlock()
+		text, ends := answer(id)
+		io.WriteString(c, text)
+		if ends {
+			return
+		}
+	}
+}
+
+func (s *rawServer) note(n int, raw string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.got = append(s.got, arrival{n, raw})
+}
+
+// since returns what came after the first n.
+func (s *rawServer) since(n int) []arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.got[n:])
+}
+
+func (s *rawServer) count() int { return len(s.since(0)) }
+
+// edge starts a raw server and a form before it.
+func edge(t testing.TB, start StartEdge) (Edge, *rawServer) {
+	s := startRaw(t)
+	known := engine.List{Seq: 1, Whole: true, Servers: []engine.Server{{ID: "raw", Addr: s.ln.Addr().String(), State: policy.Ready, Weight: 1}}}
+	return start(t, standin.Platform{Seed: 1, Known: &known, Classes: Classes(), Pushed: true, NoProbes: true}.JSON()), s
+}
+
+func crlf(text string, exact bool) string {
+	if exact {
+		return text
+	}
+	return strings.ReplaceAll(text, "\n", "\r\n")
+}
+
+// RunRequests sends the corpus of requests to the form that start makes.
+func RunRequests(t *testing.T, start StartEdge) {
+	form, server := edge(t, start)
+	left := 0
+	for _, tt := range Requests() {
+		want := tt.Want
+		if d, ok := tt.Differs[form.Name]; ok {
+			want = d.Want
+		}
+		t.Run(tt.Name, func(t *testing.T) {
+			before := server.count()
+			id := fmt.Sprintf("edge-%d", lastID.Add(1))
+			raw := crlf(strings.ReplaceAll(tt.Raw, "~ID~", id), tt.Exact)
+			var got string
+			if form.Addr != "" {
+				got = exchange(t, form.Addr, raw, tt.Half, tt.Head, strings.Count(want, " "))
+			} else {
+				q, ok := expressed(raw)
+				if !ok || tt.SocketsOnly != "" {
+					left++
+					return
+				}
+				got = form.express(q)
+				want, _, _ = strings.Cut(want, " ")
+			}
+			if got != want {
+				t.Errorf("%q: got %s, want %s", tt.Raw[:min(len(tt.Raw), 200)], got, want)
+			}
+			came := server.since(before)
+			served := strings.Count(want, "200")
+			if strings.Contains(tt.Raw, " /healthz HTTP") {
+				served = 0
+			}
+			if len(came) != served {
+				t.Fatalf("the server got %d requests, want %d: %.800s", len(came), served, fmt.Sprintf("%+v", came))
+			}
+			if served == 0 {
+				return
+			}
+			head, _, _ := strings.Cut(came[0].raw, "\r\n\r\n")
+			lines := strings.Split(came[0].raw, "\r\n")
+			for _, line := range tt.Sent {
+				if line = strings.ReplaceAll(line, "~ID~", id); !slices.Contains(lines, line) {
+					t.Errorf("the server did not get %q but %q", line, came[0].raw[:min(len(came[0].raw), 400)])
+				}
+			}
+			for _, part := range tt.Never {
+				if strings.Contains(strings.ToLower(head), strings.ToLower(part)) {
+					t.Errorf("the server got %q in %q", part, head)
+				}
+			}
+			if n := strings.Count(strings.ToLower(head), "\r\nx-request-id:"); n != 1 || !strings.Contains(head, id) {
+				t.Errorf("the id is in %d lines of %q", n, head)
+			}
+			if n := strings.Count(strings.ToLower(head), "content-length:") + strings.Count(strings.ToLower(head), "transfer-encoding:"); n > 1 {
+				t.Errorf("%d lengths in %q", n, head)
+			}
+		})
+	}
+	if form.Addr == "" {
+		t.Logf("%d of %d cannot be said by a round tripper", left, len(Requests()))
+	}
+}
+
+// exchange writes raw on a connection of its own, and tells the statuses that came and how the connection went on.
+func exchange(t *testing.T, addr, raw string, half, head bool, answers int) string {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		io.WriteString(c, raw) // it may break off: the answer counts
+		if half {
+			c.(*net.TCPConn).CloseWrite()
+		}
+	}()
+	defer func() { c.Close(); <-written }()
+	r := bufio.NewReader(c)
+	var got []string
+	var asked *http.Request // nil is a GET
+	if head {
+		asked = &http.Request{Method: http.MethodHead}
+	}
+	for {
+		resp, err := http.ReadResponse(r, asked)
+		var broken net.Error
+		switch {
+		case errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken):
+			return strings.Join(append(got, "close"), " ")
+		case err != nil:
+			return strings.Join(append(got, "nonsense"), " ")
+		}
+		if resp.StatusCode == http.StatusContinue {
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		got = append(got, strconv.Itoa(resp.StatusCode))
+		if err != nil {
+			return strings.Join(append(got, "broken"), " ")
+		}
+		if resp.StatusCode == http.StatusOK && !strings.Contains(raw, " /healthz") && string(body) != "ok" {
+			return strings.Join(append(got, "with", string(body)), " ")
+		}
+		if resp.Close {
+			c.(*net.TCPConn).CloseWrite() // whoever still waits for a body sees that there is none
+		}
+		if resp.Close || len(got) < answers {
+			continue // the end must come, or a further answer
+		}
+		if half {
+			return strings.Join(append(got, "open"), " ")
+		}
+		if _, err := io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n"); err != nil {
+			return strings.Join(append(got, "close"), " ")
+		}
+		resp, err = http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			return strings.Join(append(got, "close"), " ")
+		}
+		return strings.Join(append(got, "open"), " ")
+	}
+}
+
+// expressed is raw as a client of net/http would say it, if it can: one whole request, whose head can be read and has one
+// length.
+func expressed(raw string) (*http.Request, bool) {
+	var head httpmsg.Head
+	if err := head.Read(bufio.NewReaderSize(strings.NewReader(raw), 32<<10)); err != nil && !errors.Is(err, httpmsg.ErrNominated) {
+		return nil, false
+	}
+	r := bufio.NewReader(strings.NewReader(raw))
+	q, err := http.ReadRequest(r)
+	if err != nil || q.ProtoMinor != 1 || q.URL.Host != "" {
+		return nil, false
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil || r.Buffered() > 0 {
+		return nil, false
+	}
+	if q.Body != http.NoBody {
+		q.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	target := q.RequestURI
+	q.RequestURI, q.URL.Scheme, q.URL.Host = "", "http", q.Host
+	if !strings.HasPrefix(target, "//") {
+		q.URL.Opaque, q.URL.RawQuery, q.URL.ForceQuery = target, "", false
+	}
+	return q, true
+}
+
+// express asks a round tripper, and tells the status that the handler would have given.
+func (e Edge) express(q *http.Request) string {
+	rt, ok := e.Form.(interface {
+		Trip(*http.Request) Answer
+	})
+	if !ok {
+		return "no round tripper"
+	}
+	return rt.Trip(q).status()
+}
+
+// status is what becomes of a request as HTTP has it.
+func (a Answer) status() string {
+	switch a.Kind {
+	case Served:
+		return "200"
+	case Refused:
+		return "503"
+	case Failed:
+		return "502"
+	case Rejected:
+		return strconv.Itoa(a.Status)
+	}
+	return fmt.Sprint(a)
+}
+
+// RunAnswers has the server give the corpus of answers to requests through the form that start makes.
+func RunAnswers(t *testing.T, start StartEdge) {
+	form, server := edge(t, start)
+	for _, tt := range Answers() {
+		t.Run(tt.Name, func(t *testing.T) {
+			class := tt.Class
+			if class == "" {
+				class = "pay"
+			}
+			q, behind := ask(class), ask("read")
+			id := q.Header["X-Request-ID"]
+			if tt.Wait != "" {
+				q.Header["X-Timeout-Ms"] = tt.Wait
+			}
+			server.mu.Lock()
+			server.answer = func(got string) (string, bool) {
+				if got == id {
+					return crlf(tt.Raw, tt.Exact), tt.Ends
+				}
+				return plainOK, false
+			}
+			server.mu.Unlock()
+			before := server.count()
+			a := form.Ask(t.Context(), q)
+			if a.Kind != tt.Want || a.Kind == Served && a.Body != tt.Body {
+				t.Errorf("%v, want %s %s", a, tt.Want, tt.Body)
+			}
+			for _, line := range tt.Lines {
+				name, value, _ := strings.Cut(line, ": ")
+				if !slices.Contains(a.Header.Values(name), value) {
+					t.Errorf("%q is not in %v", line, a.Header)
+				}
+			}
+			for _, line := range tt.Never {
+				name, value, exact := strings.Cut(line, ": ")
+				if v := a.Header.Values(name); len(v) > 0 && (!exact || slices.Contains(v, value)) {
+					t.Errorf("%s is %q", name, v)
+				}
+			}
+			came := server.since(before)
+			if len(came) != max(tt.Sent, 1) {
+				t.Fatalf("the server got it %d times, want %d", len(came), max(tt.Sent, 1))
+			}
+			// The next request must be served whatever this answer has left behind.
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			if next := form.Ask(ctx, behind); next.Kind != Served || next.Body != "ok" {
+				t.Errorf("the next request: %v", next)
+			}
+			all := server.since(before)
+			if kept := all[len(all)-1].conn == came[len(came)-1].conn; kept != tt.Kept {
+				t.Errorf("its connection is used again: %v, want %v", kept, tt.Kept)
+			}
+		})
+	}
+}
+
+// CheckCorpus tells what is wrong with the corpus itself.
+func CheckCorpus() error {
+	var errs []error
+	names := map[string]bool{}
+	for _, c := range Requests() {
+		if names[c.Name] {
+			errs = append(errs, fmt.Errorf("two requests are named %s", c.Name))
+		}
+		names[c.Name] = true
+		for form, d := range c.Differs {
+			if d.Reason == "" || d.Want == c.Want {
+				errs = append(errs, fmt.Errorf("%s: %s differs without a reason", c.Name, form))
+			}
+		}
+		if !strings.HasSuffix(c.Want, "open") && !strings.HasSuffix(c.Want, "close") {
+			errs = append(errs, fmt.Errorf("%s: nothing is said of the connection", c.Name))
+		}
+	}
+	for _, c := range Answers() {
+		if names["answer "+c.Name] {
+			errs = append(errs, fmt.Errorf("two answers are named %s", c.Name))
+		}
+		names["answer "+c.Name] = true
+	}
+	if len(Requests()) < 150 || len(Answers()) < 60 {
+		errs = append(errs, fmt.Errorf("%d requests and %d answers: 150 and 60 are wanted", len(Requests()), len(Answers())))
+	}
+	return errors.Join(errs...)
+}
--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -59,24 +60,26 @@
 	return nil
 }
 
-// AddHeader notes what h says, in whatever case its names are: all of them are written as lines. It guards against a key or
-// an id that is noted here and then cannot be written, so that the server would not have it.
+// AddHeader notes what h says, in whatever case its names are: all of them are written as lines. It guards against lines
+// that cannot be written, as net/http's client does: left out they would be missing at the server, and a key among them.
 func (c *Call) AddHeader(h http.Header) error {
 	if err := httpmsg.CheckConnection(h); err != nil {
 		return bad(err.Error())
 	}
 	for name, values := range h {
-		for i := range names {
-			if len(name) != len(names[i]) || !strings.EqualFold(name, names[i]) || names[i] == "Host" {
-				continue // of Host, net/http writes what stands beside the header
+		if !httpguts.ValidHeaderFieldName(name) {
+			return bad("a header of the name " + strconv.Quote(name) + " cannot be sent")
+		}
+		known := slices.IndexFunc(names[:], func(n string) bool { return len(n) == len(name) && strings.EqualFold(n, name) })
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return bad("the value of " + name + " has a character that no line may have")
+			}
+			if known < 0 || names[known] == "Host" { // of Host, net/http writes what stands beside the header
+				continue
 			}
-			for _, v := range values {
-				if !httpguts.ValidHeaderFieldValue(v) {
-					return bad(names[i] + " has a character that no line may have")
-				}
-				if err := c.set(i, []byte(strings.Trim(v, " \t"))); err != nil {
-					return err
-				}
+			if err := c.set(known, []byte(strings.Trim(v, " \t"))); err != nil {
+				return err
 			}
 		}
 	}
--- a/internal/httpmsg/head.go
+++ b/internal/httpmsg/head.go
@@ -119,11 +119,8 @@
 	for len(head) > 0 {
 		var line []byte
 		line, head, _ = bytes.Cut(head, []byte("\n"))
-		line = bytes.TrimSuffix(line, []byte("\r"))
-		for _, c := range line {
-			if c < ' ' && c != '\t' || c == 0x7f {
-				return ErrHead
-			}
+		if line = trimLine(line); hasControl(line) {
+			return ErrHead
 		}
 		if h.First == nil {
 			if len(line) == 0 {
@@ -178,6 +175,21 @@
 	return nil
 }
 
+// trimLine takes the end off a line: a line feed, and a carriage return before it.
+func trimLine(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
+// hasControl reports whether a line has a character that none may have (RFC 9110, section 5.5).
+func hasControl(line []byte) bool {
+	for _, c := range line {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return true
+		}
+	}
+	return false
+}
+
 // token reports whether b is a token (RFC 9110, section 5.6.2).
 func token(b []byte) bool {
 	for _, c := range b {
@@ -326,9 +338,12 @@
 		if left -= len(line); left < 0 {
 			return nil, ErrHeadTooLong
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if line = trimLine(line); len(line) == 0 {
 			return body, nil
 		}
+		if name, _, ok := bytes.Cut(line, []byte(":")); !ok || !token(name) || hasControl(line) {
+			return nil, ErrHead
+		}
 	}
 }
 
--- a/internal/httpmsg/header.go
+++ b/internal/httpmsg/header.go
@@ -5,12 +5,10 @@
 	"net/http"
 	"net/textproto"
 	"slices"
-
-	"golang.org/x/net/http/httpguts"
 )
 
-// AppendHeader appends the lines of h to b, but those that concern one connection only and those for which skip is true.
-// Names and values that no line may hold are left out, as they would end the line.
+// AppendHeader appends the lines of h to b, but those that concern one connection only and those for which skip is true. All
+// names and values must be such as a line may hold.
 func AppendHeader(b []byte, h http.Header, skip func(name string) bool) []byte {
 	names := make([]string, 0, len(h))
 	for name := range h {
@@ -24,14 +22,11 @@
 		}
 	}
 	for _, name := range names {
-		if HopName([]byte(name)) || skip != nil && skip(name) || !httpguts.ValidHeaderFieldName(name) ||
-			slices.Contains(listed, textproto.CanonicalMIMEHeaderKey(name)) {
+		if HopName([]byte(name)) || skip != nil && skip(name) || slices.Contains(listed, textproto.CanonicalMIMEHeaderKey(name)) {
 			continue
 		}
 		for _, v := range h[name] {
-			if httpguts.ValidHeaderFieldValue(v) {
-				b = Field{[]byte(name), []byte(v)}.Append(b)
-			}
+			b = Field{[]byte(name), []byte(v)}.Append(b)
 		}
 	}
 	return b
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -267,7 +267,7 @@
 		if err := c.head.Read(c.r); err != nil {
 			return 0, 0, err
 		}
-		code, minor, err := c.head.Status()
+		code, minor, err := c.status()
 		if err != nil {
 			return 0, 0, err
 		}
@@ -279,6 +279,15 @@
 	return 0, 0, errors.New("too many interim answers")
 }
 
+// status reads the status line of the head that has been read. Chunks from HTTP/1.0 are rejected: a sender that knows of none
+// has a part of its answer taken for a length (RFC 9112, section 6.1).
+func (c *conn) status() (code, minor int, err error) {
+	if code, minor, err = c.head.Status(); err == nil && minor == 0 && c.head.Chunked {
+		err = httpmsg.ErrFraming
+	}
+	return code, minor, err
+}
+
 // body reads the body of the answer whose head has been discarded, of at most httpmsg.MaxBody. last reports whether the
 // connection can carry no further exchange.
 func (c *conn) body(code, minor int) (body []byte, last bool, err error) {
