--- a/balancer.go
+++ b/balancer.go
@@ -32,6 +32,8 @@
 	"golang.org/x/sync/semaphore"
 
 	"quillfront/internal/engine"
+	"quillfront/internal/httpmsg"
+	"quillfront/internal/orders"
 	"quillfront/internal/sockets"
 	"quillfront/internal/upstream"
 	"quillfront/policy"
@@ -62,10 +64,14 @@
 type FailedError struct {
 	Attempts int    // how many were made
 	Last     string // how the last one ended: "timed out", "reset" and so on; empty without one
+	Unknown  bool   // with Config.Orders: an earlier request under this key may have run, and this one was not sent
 }
 
 // Error tells how it failed.
 func (e *FailedError) Error() string {
+	if e.Unknown {
+		return "quillfront: failed, an earlier request under this Idempotency-Key may have run"
+	}
 	if e.Last == "" {
 		return "quillfront: failed, no attempt was made in time"
 	}
@@ -103,6 +109,7 @@
 	log    *slog.Logger
 	seed   *uint64
 	module engine.Module
+	orders *orders.Config
 }
 
 // WithLogger makes a Balancer log to l. Without it nothing is logged.
@@ -114,6 +121,7 @@
 // Balancer sends requests to a fleet of servers. Its methods may be called from many goroutines at once.
 type Balancer struct {
 	engine    *engine.Engine
+	desk      *orders.Desk // nil: nothing is noted of orders
 	transport *upstream.Transport
 	sockets   *sockets.Budget
 	room      *semaphore.Weighted // for bodies, in bytes
@@ -168,9 +176,23 @@
 	}
 	b.transport = upstream.New(p.settings, b.sockets, o.log)
 	b.sockets.OnShortage(b.transport.MakeRoom, nil)
+	var transport engine.Transport = b.transport
+	var book orders.Book
+	var retention func(string) time.Duration
+	if o.orders != nil {
+		var err error
+		if book, retention, err = o.orders.Open(); err != nil {
+			b.transport.Close()
+			return nil, fmt.Errorf("quillfront: Orders: %w", err)
+		}
+		transport = orders.Transport(transport)
+	}
 	b.engine = engine.New(engine.Options{
-		Config: p.settings.Config, Module: module, Transport: b.transport, Source: p.source, Known: p.known, Log: o.log,
+		Config: p.settings.Config, Module: module, Transport: transport, Source: p.source, Known: p.known, Log: o.log,
 	})
+	if book != nil {
+		b.desk = orders.New(orders.Options{Engine: b.engine, Book: book, Codec: httpmsg.Codec{}, Retention: retention, Log: o.log})
+	}
 	if p.move {
 		b.engine.Move(p.source)
 	}
@@ -191,4 +213,9 @@
 func (b *Balancer) Close() {
 	b.engine.Close()
 	b.transport.Close()
+	if b.desk != nil {
+		if err := b.desk.Close(); err != nil {
+			b.log.Error("closing the book of orders", "err", err)
+		}
+	}
 }
--- a/cmd/quillfront/main.go
+++ b/cmd/quillfront/main.go
@@ -39,7 +39,7 @@
 		SilenceErrors: true,
 		RunE:          serve,
 	}
-	root.AddCommand(demoCommand(), &cobra.Command{
+	served := &cobra.Command{
 		Use:   "serve",
 		Short: "Be the sidecar of one application, by the configuration that GW_CONFIG names",
 		Long: "serve takes requests at the address that the configuration gives, until SIGTERM; it then answers all that it\n" +
@@ -47,7 +47,9 @@
 			"GW_LISTEN and GW_DISCOVERY stand in for keys that it lacks.",
 		Args: cobra.NoArgs,
 		RunE: serve,
-	})
+	}
+	served.Flags().String("config", "", "the operator's own file, such as deploy/quillfront.toml; without it all that it turns on is off")
+	root.AddCommand(demoCommand(), served)
 	return root
 }
 
@@ -66,7 +68,13 @@
 	// Guards against being killed for memory: the rest is for stacks of the runtime, code and the kernel.
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
 
-	s, err := daemon.New(cfg, daemon.NewLog(os.Stderr))
+	var op config.Operator
+	if path, _ := cmd.Flags().GetString("config"); path != "" {
+		if op, err = config.LoadOperator(path); err != nil {
+			return err
+		}
+	}
+	s, err := daemon.New(cfg, op, daemon.NewLog(os.Stderr))
 	if err != nil {
 		return err
 	}
--- a/http.go
+++ b/http.go
@@ -17,6 +17,7 @@
 	"quillfront/internal/engine"
 	"quillfront/internal/httpcall"
 	"quillfront/internal/httpmsg"
+	"quillfront/internal/orders"
 )
 
 // ownEnd is how much later than its caller's deadline a request ends by itself. The caller's end is thus always the first
@@ -49,9 +50,11 @@
 	if bounded { // no attempt outlasts who waits for it by more than that
 		r.Wait = min(r.Wait, max(time.Until(until), 0)+ownEnd)
 	}
-	if err := b.engine.Take(r, b.engine.Now()); err != nil {
+	if err := b.hand(r, call, m); err != nil {
 		release()
 		switch {
+		case errors.Is(err, orders.ErrMismatch):
+			return nil, &RequestError{http.StatusUnprocessableEntity, err.Error()}
 		case errors.Is(err, engine.ErrClosed):
 			return nil, ErrClosed
 		case errors.Is(err, engine.ErrNameOpen):
@@ -76,11 +79,23 @@
 	}
 }
 
+// hand hands a request on.
+func (b *Balancer) hand(r *engine.Request, call *httpcall.Call, m *httpmsg.Message) error {
+	if b.desk == nil || call.IdempotencyKey == "" {
+		return b.engine.Take(r, b.engine.Now())
+	}
+	read := b.engine.Now()
+	return b.desk.Take(r, orders.Ask{Key: call.IdempotencyKey, Print: call.Print(m.Body)}, read)
+}
+
 // result is what the caller gets of an engine's result.
 func (b *Balancer) result(r engine.Result) (*httpmsg.Answer, error) {
 	switch r.Kind {
 	case engine.Served:
 		if a, ok := r.Reply.(*httpmsg.Answer); ok {
+			if r.Replayed {
+				a = &httpmsg.Answer{Lines: append([]byte(httpmsg.ReplayedLine), a.Lines...), Body: a.Body}
+			}
 			return a, nil
 		}
 	case engine.Refused:
@@ -88,7 +103,7 @@
 	case engine.Dropped:
 		return nil, fmt.Errorf("%w, and the request may have run", ErrClosed)
 	}
-	e := &FailedError{Attempts: r.Attempts}
+	e := &FailedError{Attempts: r.Attempts, Unknown: r.MayHaveRun}
 	if r.Attempts > 0 {
 		e.Last = outcomes[r.Last]
 	}
@@ -282,6 +297,10 @@
 	case errors.As(err, &request):
 		http.Error(w, request.Reason, request.Status)
 	default:
+		if failed := (*FailedError)(nil); errors.As(err, &failed) && failed.Unknown {
+			name, value, _ := strings.Cut(strings.TrimSpace(httpmsg.UnknownLine), ": ")
+			w.Header().Set(name, value)
+		}
 		w.WriteHeader(http.StatusBadGateway)
 	}
 }
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,123 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"quillfront/internal/orders"
+)
+
+// Operator is the operator's own file: what the platform knows nothing of. A part that the file lacks is off.
+type Operator struct {
+	Store *orders.Config
+}
+
+// operatorFile is the file as it stands.
+type operatorFile struct {
+	Store *storeTable `toml:"store"`
+}
+
+type storeTable struct {
+	Path             string              `toml:"path"`
+	Durability       string              `toml:"durability"`
+	SyncEvery        duration            `toml:"sync_every"`
+	Retention        duration            `toml:"retention"`
+	RetentionByClass map[string]duration `toml:"retention_by_class"`
+	MostBytes        int64               `toml:"most_bytes"`
+	MostOrders       int                 `toml:"most_orders"`
+}
+
+// duration is a time such as "24h".
+type duration time.Duration
+
+// UnmarshalText is the method of encoding.TextUnmarshaler.
+func (d *duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no time such as \"24h\" or \"10ms\"", text)
+	}
+	*d = duration(v)
+	return nil
+}
+
+// LoadOperator reads the operator's file at path, strictly: what it does not know, or cannot use, is an error that names
+// file, line and key.
+func LoadOperator(path string) (Operator, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Operator{}, fmt.Errorf("the operator's file: %w", err)
+	}
+	o, err := parseOperator(string(text))
+	if err != nil {
+		return Operator{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return o, nil
+}
+
+func parseOperator(text string) (Operator, error) {
+	var f operatorFile
+	meta, err := toml.Decode(text, &f)
+	if err != nil {
+		var parse toml.ParseError
+		if errors.As(err, &parse) {
+			return Operator{}, fmt.Errorf("line %d: %s", parse.Position.Line, cleared(parse))
+		}
+		return Operator{}, err
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		key := unknown[0]
+		return Operator{}, fmt.Errorf("line %d: unknown key %s", lineOf(text, key), key)
+	}
+	var o Operator
+	if s := f.Store; s != nil {
+		c := orders.Config{
+			Dir: s.Path, Durability: orders.Durability(s.Durability), SyncEvery: time.Duration(s.SyncEvery),
+			Retention: time.Duration(s.Retention), MostBytes: s.MostBytes, MostOrders: s.MostOrders, ByClass: map[string]time.Duration{},
+		}
+		for class, d := range s.RetentionByClass {
+			c.ByClass[class] = time.Duration(d)
+		}
+		if err := c.Check(); err != nil {
+			return Operator{}, fmt.Errorf("[store]: %w", err)
+		}
+		o.Store = &c
+	}
+	return o, nil
+}
+
+// cleared is what is wrong by a ParseError, in one line and with the key if there is one.
+func cleared(e toml.ParseError) string {
+	if e.LastKey != "" {
+		return e.LastKey + ": " + e.Message
+	}
+	return e.Message
+}
+
+// lineOf returns the line in which a key stands, from 1, or that of its table.
+func lineOf(text string, key toml.Key) int {
+	last := key[len(key)-1]
+	table := strings.Join(key[:len(key)-1], ".")
+	in := ""
+	lines := strings.Split(text, "\n")
+	for i, line := range lines {
+		line = strings.TrimSpace(line)
+		if name, ok := strings.CutPrefix(line, "["); ok {
+			in = strings.Trim(strings.SplitN(name, "]", 2)[0], "[ ")
+			if in == key.String() {
+				return i + 1
+			}
+			continue
+		}
+		name, _, _ := strings.Cut(line, "=")
+		if in == table && strings.Trim(strings.TrimSpace(name), `"`) == last {
+			return i + 1
+		}
+	}
+	return max(1, slices.IndexFunc(lines, func(l string) bool { return strings.Contains(l, last) })+1)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,8 @@
 	"quillfront/internal/discovery"
 	"quillfront/internal/engine"
 	"quillfront/internal/httpfront"
+	"quillfront/internal/httpmsg"
+	"quillfront/internal/orders"
 	"quillfront/internal/sockets"
 	"quillfront/internal/upstream"
 	"quillfront/policy"
@@ -40,6 +42,7 @@
 	engine    *engine.Engine
 	transport *upstream.Transport
 	server    *httpfront.Server
+	desk      *orders.Desk // nil: nothing is noted of orders
 	sockets   *sockets.Budget
 	room      *semaphore.Weighted // for bodies
 
@@ -48,24 +51,39 @@
 }
 
 // New makes a sidecar. It opens no socket.
-func New(cfg config.Config, log *slog.Logger) (*Sidecar, error) {
+func New(cfg config.Config, op config.Operator, log *slog.Logger) (*Sidecar, error) {
 	b, err := policy.New(cfg.Settings.Config, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	return newSidecar(cfg, b, log), nil
+	return newSidecar(cfg, op, b, log)
 }
 
-func newSidecar(cfg config.Config, b engine.Module, log *slog.Logger) *Sidecar {
+func newSidecar(cfg config.Config, op config.Operator, b engine.Module, log *slog.Logger) (*Sidecar, error) {
+	var book orders.Book
+	var retention func(string) time.Duration
+	if op.Store != nil {
+		var err error
+		if book, retention, err = op.Store.Open(); err != nil {
+			return nil, fmt.Errorf("[store]: %w", err)
+		}
+	}
 	s := &Sidecar{cfg: cfg, log: log, sockets: sockets.New(cfg.Sockets), room: httpfront.NewRoom(cfg.MemoryMB), discovery: cfg.Discovery}
 	s.transport = upstream.New(cfg.Settings, s.sockets, log)
+	var transport engine.Transport = s.transport
+	if book != nil {
+		transport = orders.Transport(transport)
+	}
 	s.engine = engine.New(engine.Options{
-		Config: cfg.Settings.Config, Module: b, Transport: s.transport, Source: discovery.Client{Addr: cfg.Discovery},
+		Config: cfg.Settings.Config, Module: b, Transport: transport, Source: discovery.Client{Addr: cfg.Discovery},
 		Known: cfg.Known, Log: log,
 	})
-	s.server = httpfront.New(s.engine, s.room, s.sockets, log)
+	if book != nil {
+		s.desk = orders.New(orders.Options{Engine: s.engine, Book: book, Codec: httpmsg.Codec{}, Retention: retention, Log: log})
+	}
+	s.server = httpfront.New(s.engine, s.desk, s.room, s.sockets, log)
 	s.sockets.OnShortage(s.transport.MakeRoom, s.server.Evict)
-	return s
+	return s, nil
 }
 
 // Run serves until ctx ends, and then drains. It returns once all that was taken is answered.
@@ -127,6 +145,11 @@
 func (s *Sidecar) close() {
 	s.engine.Close()
 	s.transport.Close()
+	if s.desk != nil {
+		if err := s.desk.Close(); err != nil {
+			s.log.Error("closing the store", "err", err)
+		}
+	}
 }
 
 // ReloadFailed tells that a new configuration cannot be used, and that the old one stays.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	sidecar, err := daemon.New(cfg, slog.New(slog.DiscardHandler))
+	sidecar, err := daemon.New(cfg, config.Operator{}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -45,6 +45,8 @@
 	Addr   string
 	ID     policy.ServerID
 	BornMs int64 // Unix time in milliseconds; 0 is long ago
+	Zone   string
+	Cell   int
 }
 
 // String returns the address.
@@ -185,31 +187,72 @@
 // It guards against two open requests under one name: servers tell requests by it, so that the answer to one could go to
 // the other. A client that uses a name twice at once on purpose gets but one of them served.
 func (e *Engine) Take(r *Request, read policy.Time) (err error) {
-	if _, known := e.classes[r.Class]; !known {
-		return fmt.Errorf("%w: %q", ErrUnknownClass, r.Class)
-	}
 	e.event(func(now policy.Time) {
-		switch {
-		case e.closing:
-			err = ErrClosed
-			return
-		case r.Name != "" && e.names[r.Name] != nil:
-			err = ErrNameOpen
-			return
-		case r.Name != "":
-			e.names[r.Name] = r
+		if err = e.admit(r); err == nil {
+			e.hand(now, r, read)
+		}
+	})
+	return err
+}
+
+// Adopt takes a request of which the module is not told: whoever adopts it gives it its result by Settle, or hands it to the
+// module after all. In everything else it is as one that was taken.
+func (e *Engine) Adopt(r *Request) (err error) {
+	e.event(func(policy.Time) {
+		if err = e.admit(r); err == nil {
+			r.adopted = true
 		}
-		e.lastID++
-		e.open++
-		r.id, r.result = e.lastID, make(chan Result, 1)
-		e.requests[r.id] = r
-		e.module.Request(now, policy.Request{
-			ID: r.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Cost: r.Cost, Retry: r.Retry, Expires: read + r.Wait,
-		}, e)
 	})
 	return err
 }
 
+// Settle gives an adopted request its result, unless it has ended.
+func (e *Engine) Settle(r *Request, result Result) {
+	e.event(func(policy.Time) {
+		if r.adopted {
+			e.finish(r, result)
+		}
+	})
+}
+
+// Hand hands an adopted request to the module, unless it has ended; first is run before, under the lock.
+func (e *Engine) Hand(r *Request, read policy.Time, first func()) {
+	e.event(func(now policy.Time) {
+		if r.adopted && !r.ended {
+			first()
+			r.adopted = false
+			e.hand(now, r, read)
+		}
+	})
+}
+
+// admit notes a request as open.
+func (e *Engine) admit(r *Request) error {
+	if _, known := e.classes[r.Class]; !known {
+		return fmt.Errorf("%w: %q", ErrUnknownClass, r.Class)
+	}
+	switch {
+	case e.closing:
+		return ErrClosed
+	case r.Name != "" && e.names[r.Name] != nil:
+		return ErrNameOpen
+	case r.Name != "":
+		e.names[r.Name] = r
+	}
+	e.lastID++
+	e.open++
+	r.id, r.result = e.lastID, make(chan Result, 1)
+	e.requests[r.id] = r
+	return nil
+}
+
+// hand tells the module of a request.
+func (e *Engine) hand(now policy.Time, r *Request, read policy.Time) {
+	e.module.Request(now, policy.Request{
+		ID: r.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Cost: r.Cost, Retry: r.Retry, Expires: read + r.Wait, Past: r.Past,
+	}, e)
+}
+
 // Withdraw tells the module that the client has left, and reports whether the request was still open. If it was not, its
 // result is there.
 func (e *Engine) Withdraw(r *Request) (open bool) {
@@ -223,7 +266,12 @@
 
 func (e *Engine) withdraw(now policy.Time, r *Request) {
 	e.end(r)
-	e.module.Withdrawn(now, r.id, e)
+	if r.Ended != nil {
+		r.Ended(Result{}, true)
+	}
+	if !r.adopted {
+		e.module.Withdrawn(now, r.id, e)
+	}
 	e.forget(r)
 }
 
@@ -234,10 +282,18 @@
 	}
 	e.end(r)
 	result.Attempts, result.Last = len(r.attempts), r.last
-	r.result <- result
+	e.give(r, result)
 	e.after = append(e.after, func(policy.Time) { e.forget(r) })
 }
 
+// give delivers r's one result.
+func (e *Engine) give(r *Request, result Result) {
+	r.result <- result
+	if r.Ended != nil {
+		r.Ended(result, false)
+	}
+}
+
 // end notes that r has ended: its name may be used again.
 func (e *Engine) end(r *Request) {
 	r.ended = true
@@ -277,7 +333,7 @@
 	r.last = end.Status
 	if end.Status == policy.OK && !r.ended {
 		e.end(r)
-		r.result <- Result{Kind: Served, Reply: end.Reply, Server: a.Server, Attempts: len(r.attempts)}
+		e.give(r, Result{Kind: Served, Reply: end.Reply, Server: a.Server, Attempts: len(r.attempts)})
 	}
 	e.module.Outcome(now, policy.Outcome{
 		ID: r.id, Attempt: a.Number, Server: a.Server, Status: end.Status, Delay: now - a.sent,
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -97,7 +97,7 @@
 		if s.State == policy.Gone {
 			delete(e.endpoints, s.ID)
 		} else {
-			e.endpoints[s.ID] = Endpoint{s.Addr, s.ID, s.BornMs}
+			e.endpoints[s.ID] = Endpoint{s.Addr, s.ID, s.BornMs, s.Zone, s.Cell}
 		}
 	}
 	// Connections of a server that has gone, moved or started anew are of no use to whoever has its address now.
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -17,12 +17,19 @@
 	Wait               time.Duration // how long the client waits
 	Payload            any           // what the transport sends; the engine never looks at it
 	Release            func()        // called once, when no attempt needs Payload any more; it must not block
+	Past               []policy.Past // what the module is told of earlier requests under its key
+	Order              any           // what whoever notes its attempts goes by; the engine never looks at it
+
+	// Ended is called once, under the engine's lock, when the request has its result or was withdrawn. It must not block nor
+	// call the engine.
+	Ended func(result Result, withdrawn bool)
 
 	id       policy.RequestID
 	result   chan Result // of one place
 	attempts []*Attempt
 	out      int // attempts without an ending
 	ended    bool
+	adopted  bool // the module was not told of it
 	last     policy.Status
 }
 
@@ -48,6 +55,8 @@
 	RetryAfter time.Duration   // Refused: when to come back; zero: not told
 	Attempts   int             // how many attempts were made
 	Last       policy.Status   // not Served: how the attempt that ended last did, if Attempts is above 0
+	Replayed   bool            // Served: the answer was made for an earlier request under the same key
+	MayHaveRun bool            // Failed: an earlier request under the same key may have run, and this one was not sent
 }
 
 // Attempt is one send of a request.
@@ -70,6 +79,9 @@
 // Name is the client's own name of the request.
 func (a *Attempt) Name() string { return a.req.Name }
 
+// Order is the request's.
+func (a *Attempt) Order() any { return a.req.Order }
+
 // cancel calls the attempt off. Its goroutine tells the outcome.
 func (a *Attempt) cancel() {
 	a.mu.Lock()
--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -4,6 +4,9 @@
 package httpcall
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -160,3 +163,15 @@
 	}
 	return r, nil
 }
+
+// Print tells what c asks for, with that body, from anything else that could be asked for under its Idempotency-Key.
+func (c *Call) Print(body []byte) (sum [sha256.Size]byte) {
+	h := sha256.New()
+	for _, part := range []string{c.Method, c.Target} {
+		h.Write(binary.AppendUvarint(nil, uint64(len(part))))
+		io.WriteString(h, part)
+	}
+	h.Write(body)
+	h.Sum(sum[:0])
+	return sum
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -22,6 +22,7 @@
 	"quillfront/internal/engine"
 	"quillfront/internal/httpcall"
 	"quillfront/internal/httpmsg"
+	"quillfront/internal/orders"
 	"quillfront/internal/sockets"
 )
 
@@ -74,6 +75,7 @@
 	room    *semaphore.Weighted
 	sockets *sockets.Budget
 	log     *slog.Logger
+	desk    *orders.Desk // nil: requests go to the engine as they come
 
 	mu       sync.Mutex
 	conns    map[*clientConn]struct{} // bounded by sockets
@@ -81,9 +83,9 @@
 	open     sync.WaitGroup // their goroutines
 }
 
-// New returns a server that takes its descriptors from b, and holds bodies in room.
-func New(e *engine.Engine, room *semaphore.Weighted, b *sockets.Budget, log *slog.Logger) *Server {
-	return &Server{engine: e, room: room, sockets: b, log: log, conns: map[*clientConn]struct{}{}}
+// New returns a server that takes its descriptors from b, and holds bodies in room. Requests pass through desk, if there is one.
+func New(e *engine.Engine, desk *orders.Desk, room *semaphore.Weighted, b *sockets.Budget, log *slog.Logger) *Server {
+	return &Server{engine: e, desk: desk, room: room, sockets: b, log: log, conns: map[*clientConn]struct{}{}}
 }
 
 // phase is how far a client's connection has got.
@@ -385,8 +387,10 @@
 		err = errCrowd
 	} else if !s.enter(c, serving) {
 		err = errGone
-	} else if err = s.engine.Take(r, s.engine.Now()); errors.Is(err, engine.ErrNameOpen) {
+	} else if err = s.hand(r, &call, m); errors.Is(err, engine.ErrNameOpen) {
 		err = httpcall.Rejection{Status: http.StatusConflict, Text: "a request with this X-Request-ID is open"}
+	} else if errors.Is(err, orders.ErrMismatch) {
+		err = httpcall.Rejection{Status: http.StatusUnprocessableEntity, Text: err.Error()}
 	} else if errors.Is(err, engine.ErrClosed) {
 		err = httpcall.Rejection{Status: http.StatusServiceUnavailable, Text: err.Error()}
 	}
@@ -399,6 +403,15 @@
 	return r, keep, nil
 }
 
+// hand hands a request on.
+func (s *Server) hand(r *engine.Request, call *httpcall.Call, m *httpmsg.Message) error {
+	if s.desk == nil || call.IdempotencyKey == "" {
+		return s.engine.Take(r, s.engine.Now())
+	}
+	read := s.engine.Now()
+	return s.desk.Take(r, orders.Ask{Key: call.IdempotencyKey, Print: call.Print(m.Body)}, read)
+}
+
 // methodName is the method's name, without allocating for those that the protocol has.
 func methodName(b []byte) string {
 	switch string(b) {
@@ -571,6 +584,12 @@
 		b = strconv.AppendFloat(b, result.RetryAfter.Seconds(), 'f', -1, 64)
 		b = append(b, "\r\n"...)
 	}
+	if result.Replayed {
+		b = append(b, httpmsg.ReplayedLine...)
+	}
+	if result.MayHaveRun {
+		b = append(b, httpmsg.UnknownLine...)
+	}
 	b = append(b, lines...)
 	b = append(b, "\r\n"...)
 	b = append(b, body...)
--- /dev/null
+++ b/internal/orders/clock.go
@@ -0,0 +1,33 @@
+package orders
+
+import (
+	"hash/fnv"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"quillfront/ledger"
+)
+
+// bootID names the present run of the machine; 0 where that cannot be told.
+var bootID = sync.OnceValue(func() uint64 {
+	text, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return 0
+	}
+	h := fnv.New64a()
+	h.Write(text)
+	return h.Sum64()
+})
+
+// Now reads both clocks. That of the machine's run goes on while it sleeps (CLOCK_BOOTTIME), and is the same for all its processes.
+func Now() ledger.Instant {
+	i := ledger.Instant{Wall: time.Now().UnixNano()}
+	var ts unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) == nil {
+		i.Boot, i.Up = bootID(), ts.Nano()
+	}
+	return i
+}
--- /dev/null
+++ b/internal/orders/desk.go
@@ -0,0 +1,434 @@
+// Package orders hosts the ledger: it notes what becomes of each order before and after every attempt, in a book that may
+// outlast the process, and lets a request that names an order through to the engine, answers it or has it wait as the ledger
+// judges. It stands between the fronts and the engine on one side, and the engine and its transport on the other.
+package orders
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"quillfront/internal/engine"
+	"quillfront/ledger"
+	"quillfront/policy"
+)
+
+const (
+	// margin is taken off the time for which servers drop repeats: what may pass between an intent and its first byte.
+	margin = 250 * time.Millisecond
+	// tryEvery is how often a book that cannot write is tried.
+	tryEvery = 500 * time.Millisecond
+	// mostWaiting bounds the requests that wait for another's answer under one key.
+	mostWaiting = 64
+	// comeBack is when a request that found the book unable to write should be tried again.
+	comeBack = time.Second
+)
+
+// ErrMismatch tells that the key of an order was used for something else.
+var ErrMismatch = errors.New("this Idempotency-Key was used for another request")
+
+// Codec turns a transport's replies into bytes and back.
+type Codec interface {
+	Encode(reply any) []byte // nil: it cannot be kept
+	Decode([]byte) (any, error)
+}
+
+// Options is what a Desk is made of.
+type Options struct {
+	Engine    *engine.Engine
+	Book      Book
+	Codec     Codec
+	Clock     func() ledger.Instant // Now if nil
+	Retention func(class string) time.Duration
+	Log       *slog.Logger
+}
+
+// Desk takes requests for an engine. Its methods may be called from many goroutines at once.
+type Desk struct {
+	o    Options
+	ctx  context.Context // ends with Close
+	stop context.CancelFunc
+	work sync.WaitGroup
+
+	mu      sync.Mutex
+	orders  map[string]*order // that a request or an attempt holds
+	failing error             // why the book cannot write; nil: it can
+	stats   Stats
+	closed  bool
+}
+
+// Stats counts what a desk has judged.
+type Stats struct {
+	Replayed, Joined, Again, Mismatched, Unknown, Unwritable int64
+	Open                                                     int   // orders that are held
+	Failing                                                  error // why the book cannot write
+}
+
+// order is one that a request or an attempt holds.
+type order struct {
+	d     *Desk
+	key   string
+	class policy.Class
+	refs  int // under d.mu
+
+	mu      sync.Mutex
+	read    bool          // entry has been looked up
+	entry   *ledger.Entry // nil: nothing is known
+	leader  *engine.Request
+	waiting []*waiter
+}
+
+// waiter is a request that waits for another one's answer.
+type waiter struct {
+	r    *engine.Request
+	from policy.Time
+	end  *time.Timer
+}
+
+// New returns a desk that runs until Close.
+func New(o Options) *Desk {
+	if o.Clock == nil {
+		o.Clock = Now
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Desk{o: o, ctx: ctx, stop: stop, orders: map[string]*order{}}
+}
+
+// Ask is what a request asks for under a key.
+type Ask struct {
+	Key   string   // its Idempotency-Key
+	Print [32]byte // tells it from any other
+}
+
+// Take hands r to the engine, or answers it, as what is known of its order says. Its time has run since read. With an error
+// nothing was taken.
+func (d *Desk) Take(r *engine.Request, a Ask, read policy.Time) error {
+	c, known := d.o.Engine.Class(r.Class)
+	if !known || c.Effect == policy.Safe || a.Key == "" {
+		return d.o.Engine.Take(r, read)
+	}
+	o := d.hold(r.Class+"\x00"+a.Key, c)
+	release := r.Release
+	r.Release = func() { // no attempt is out any more
+		if release != nil {
+			release()
+		}
+		d.let(o)
+	}
+	err := o.take(r, a, read)
+	if err != nil {
+		r.Release, r.Ended = release, nil
+		d.let(o)
+	}
+	return err
+}
+
+// hold returns the order of a key, with one more reference.
+func (d *Desk) hold(key string, c policy.Class) *order {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	o := d.orders[key]
+	if o == nil {
+		o = &order{d: d, key: key, class: c}
+		d.orders[key] = o
+	}
+	o.refs++
+	return o
+}
+
+// let gives a reference back.
+func (d *Desk) let(o *order) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if o.refs--; o.refs == 0 {
+		delete(d.orders, o.key)
+	}
+}
+
+func (d *Desk) count(n *int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	*n++
+}
+
+// take judges r and does what follows. Each request that it takes holds a reference until it has ended.
+func (o *order) take(r *engine.Request, a Ask, read policy.Time) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.look(); err != nil {
+		return o.unwritable(r, err)
+	}
+	e := o.d.o.Engine
+	if o.leader != nil {
+		if o.entry.Print != a.Print {
+			o.d.count(&o.d.stats.Mismatched)
+			return ErrMismatch
+		}
+		if err := e.Adopt(r); err != nil {
+			return err
+		}
+		if len(o.waiting) >= mostWaiting {
+			e.Settle(r, engine.Result{Kind: engine.Refused, RetryAfter: comeBack})
+			return nil
+		}
+		o.d.count(&o.d.stats.Joined)
+		w := &waiter{r: r, from: read}
+		left := read + r.Wait - e.Now()
+		w.end = time.AfterFunc(max(left-ownEnd, 0), func() { e.Settle(r, engine.Result{Kind: engine.Failed, MayHaveRun: true}) })
+		o.waiting = append(o.waiting, w)
+		return nil
+	}
+	return o.judge(r, a.Print, read, false)
+}
+
+// ownEnd is how much before its time is up a request that waits for another is answered.
+const ownEnd = 20 * time.Millisecond
+
+// judge does with r, which nobody else's answer is waited for, what the ledger says. An adopted one is known to the engine.
+func (o *order) judge(r *engine.Request, print [32]byte, read policy.Time, adopted bool) error {
+	d, e := o.d, o.d.o.Engine
+	now := d.o.Clock()
+	v := ledger.Judge(o.class, o.entry, print, now, margin, d.o.Retention(o.class.Name))
+	settle := func(result engine.Result) error {
+		if !adopted {
+			if err := e.Adopt(r); err != nil {
+				return err
+			}
+		}
+		e.Settle(r, result)
+		return nil
+	}
+	switch v.Kind {
+	case ledger.Mismatch:
+		d.count(&d.stats.Mismatched)
+		return ErrMismatch
+	case ledger.Replay:
+		reply, err := d.o.Codec.Decode(o.entry.Answer)
+		if err != nil {
+			d.o.Log.Error("an answer that was kept cannot be read", "err", err)
+			return settle(engine.Result{Kind: engine.Failed, MayHaveRun: true})
+		}
+		d.count(&d.stats.Replayed)
+		return settle(engine.Result{Kind: engine.Served, Reply: reply, Replayed: true})
+	case ledger.Unknown, ledger.Done:
+		d.count(&d.stats.Unknown)
+		return settle(engine.Result{Kind: engine.Failed, MayHaveRun: true})
+	case ledger.Again:
+		d.count(&d.stats.Again)
+	}
+	if err := d.unable(); err != nil {
+		d.count(&d.stats.Unwritable)
+		return settle(engine.Result{Kind: refusal(v), RetryAfter: comeBack, MayHaveRun: v.Kind == ledger.Again})
+	}
+	if v.Kind == ledger.Fresh && (o.entry == nil || len(o.entry.Attempts) > 0 || o.entry.Served) {
+		o.entry = &ledger.Entry{Print: print, First: now.Wall}
+	}
+	lead := func() {
+		o.leader = r
+		r.Past, r.Order = v.Past, o
+		r.Ended = func(result engine.Result, withdrawn bool) { o.over(r, result, withdrawn) }
+	}
+	if adopted {
+		e.Hand(r, read, lead) // if its client is still there
+		return nil
+	}
+	lead()
+	if err := e.Take(r, read); err != nil {
+		o.leader, r.Ended, r.Order, r.Past = nil, nil, nil, nil
+		return err
+	}
+	return nil
+}
+
+// refusal is how a request ends that cannot be noted: refused, unless one before it may have run.
+func refusal(v ledger.Verdict) engine.Kind {
+	if v.Kind == ledger.Again {
+		return engine.Failed
+	}
+	return engine.Refused
+}
+
+// unwritable refuses r because nothing can be learnt of its order.
+func (o *order) unwritable(r *engine.Request, err error) error {
+	o.d.fail(err)
+	o.d.count(&o.d.stats.Unwritable)
+	if err := o.d.o.Engine.Adopt(r); err != nil {
+		return err
+	}
+	// It may have run before: that a retry is harmless holds all the same, as it will be judged by what can then be read.
+	o.d.o.Engine.Settle(r, engine.Result{Kind: engine.Refused, RetryAfter: comeBack})
+	return nil
+}
+
+// look reads what the book has of the order, once.
+func (o *order) look() error {
+	if o.read {
+		return nil
+	}
+	b, ok, err := o.d.o.Book.Get(o.key)
+	if err != nil {
+		return fmt.Errorf("reading an order: %w", err)
+	}
+	if ok {
+		e, err := ledger.Unmarshal(b)
+		if err != nil {
+			return fmt.Errorf("reading an order: %w", err)
+		}
+		o.entry = e
+	}
+	o.read = true
+	return nil
+}
+
+// over is told, under the engine's lock, that the leader has its result or was withdrawn. What waits is answered elsewhere.
+func (o *order) over(r *engine.Request, result engine.Result, withdrawn bool) {
+	o.d.work.Go(func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.leader != r {
+			return
+		}
+		o.leader = nil
+		e := o.d.o.Engine
+		for len(o.waiting) > 0 && o.leader == nil {
+			w := o.waiting[0]
+			o.waiting = o.waiting[1:]
+			if !w.end.Stop() {
+				continue // its own end came first
+			}
+			if !withdrawn && result.Kind != engine.Dropped {
+				result.Replayed = result.Kind == engine.Served
+				e.Settle(w.r, result)
+				continue
+			}
+			// Nobody's answer is waited for any more: the first that waits takes its place.
+			if err := o.judge(w.r, o.entry.Print, w.from, true); err != nil {
+				e.Settle(w.r, engine.Result{Kind: engine.Failed, MayHaveRun: true})
+			}
+		}
+	})
+}
+
+// begin notes an intent, before the first byte of an attempt.
+func (o *order) begin(to engine.Endpoint) (number int, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	number = o.entry.Begin(ledger.Attempt{Server: string(to.ID), Zone: to.Zone, Cell: to.Cell, At: o.d.o.Clock()})
+	if err := o.write(true); err != nil {
+		o.entry.NotRun(number)
+		return 0, err
+	}
+	return number, nil
+}
+
+// end notes how an attempt has ended. What cannot be written counts as may have run after a restart, which is safe.
+func (o *order) end(number int, end engine.Ending) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case end.Status == policy.OK:
+		o.entry.Answered(o.d.o.Codec.Encode(end.Reply))
+	case end.Status.NotRun():
+		o.entry.NotRun(number)
+	default:
+		return // as it stands
+	}
+	if err := o.write(false); err != nil {
+		o.d.o.Log.Warn("an order's end was not noted", "err", err)
+	}
+}
+
+// write writes the entry.
+func (o *order) write(firm bool) error {
+	b, err := o.entry.Marshal()
+	if err == nil {
+		err = o.d.o.Book.Put(o.key, b, firm)
+	}
+	if err != nil {
+		o.d.fail(err)
+		return err
+	}
+	return nil
+}
+
+// fail notes that the book cannot write, and tries it until it can.
+func (d *Desk) fail(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	first := d.failing == nil
+	d.failing = err
+	if !first || d.closed {
+		return
+	}
+	d.o.Log.Error("orders cannot be noted: those that need it are refused", "err", err)
+	d.work.Go(func() {
+		tick := time.NewTicker(tryEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-d.ctx.Done():
+				return
+			case <-tick.C:
+			}
+			if err := d.o.Book.Try(); err == nil {
+				d.mu.Lock()
+				d.failing = nil
+				d.mu.Unlock()
+				d.o.Log.Info("orders can be noted again")
+				return
+			}
+		}
+	})
+}
+
+// unable returns why the book cannot write, or nil.
+func (d *Desk) unable() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failing
+}
+
+// Stats returns the present counts.
+func (d *Desk) Stats() Stats {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.stats
+	s.Open, s.Failing = len(d.orders), d.failing
+	return s
+}
+
+// Close ends the desk and its book, once the engine has ended.
+func (d *Desk) Close() error {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+	d.stop()
+	d.work.Wait()
+	return d.o.Book.Close()
+}
+
+// Transport returns inner with an intent before each attempt on an order, and its end behind it. Where the intent cannot be
+// noted nothing is sent.
+func Transport(inner engine.Transport) engine.Transport {
+	return noting{inner}
+}
+
+type noting struct{ engine.Transport }
+
+// Do is a method of engine.Transport.
+func (t noting) Do(a *engine.Attempt, to engine.Endpoint) engine.Ending {
+	o, ok := a.Order().(*order)
+	if !ok {
+		return t.Transport.Do(a, to)
+	}
+	number, err := o.begin(to)
+	if err != nil {
+		return engine.Ending{Status: policy.Moot}
+	}
+	end := t.Transport.Do(a, to)
+	o.end(number, end)
+	return end
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,158 @@
+// Package ledger decides what follows from what is known of an order: a keyed or unsafe request, by its class and its
+// Idempotency-Key. It has no clock and does no I/O. Which server gets a request and whether to try again stays with policy;
+// the ledger only adds what happened before, under the same rules.
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"quillfront/policy"
+)
+
+// MostAttempts bounds the attempts that an entry holds. One that has more that may have run is not sent again.
+const MostAttempts = 16
+
+// Instant is a moment by two clocks. The wall clock may be set back and forth; the other cannot, and ends with the machine's run.
+type Instant struct {
+	Wall int64  `cbor:"1,keyasint"` // Unix nanoseconds
+	Boot uint64 `cbor:"2,keyasint"` // names the run of the machine; 0: not known
+	Up   int64  `cbor:"3,keyasint"` // nanoseconds since it began, sleep counted
+}
+
+// Since returns how long ago then was, and whether that can be known: only within one run of the machine.
+func (i Instant) Since(then Instant) (age time.Duration, known bool) {
+	if i.Boot == 0 || i.Boot != then.Boot || i.Up < then.Up {
+		return 0, false
+	}
+	return time.Duration(i.Up - then.Up), true
+}
+
+// Attempt is a send of an order that may have run.
+type Attempt struct {
+	Server string  `cbor:"1,keyasint"`
+	Zone   string  `cbor:"2,keyasint,omitempty"`
+	Cell   int     `cbor:"3,keyasint,omitempty"`
+	At     Instant `cbor:"4,keyasint"` // just before its first byte was sent
+	Number int     `cbor:"5,keyasint"` // of the entry's, from 1
+}
+
+// Entry is what is known of one order. Its zero value is one of which nothing is.
+type Entry struct {
+	Print    [32]byte  `cbor:"1,keyasint"` // tells what was asked for from anything else
+	First    int64     `cbor:"2,keyasint"` // when it was first taken, Unix nanoseconds
+	Attempts []Attempt `cbor:"3,keyasint,omitempty"`
+	Sent     int       `cbor:"4,keyasint,omitempty"` // attempts ever begun
+	Served   bool      `cbor:"5,keyasint,omitempty"`
+	Answer   []byte    `cbor:"6,keyasint,omitempty"` // as a front wrote it; nil: none is kept
+}
+
+// Begin notes that an attempt begins and returns its number. It must be kept before the attempt's first byte is sent.
+func (e *Entry) Begin(a Attempt) int {
+	e.Sent++
+	a.Number = e.Sent
+	e.Attempts = append(e.Attempts, a)
+	return a.Number
+}
+
+// NotRun notes that an attempt is proven never to have run.
+func (e *Entry) NotRun(number int) {
+	e.Attempts = slices.DeleteFunc(e.Attempts, func(a Attempt) bool { return a.Number == number })
+}
+
+// Answered notes that an attempt was served, and the answer, unless there is one: whoever asks again gets one and the same.
+func (e *Entry) Answered(answer []byte) {
+	if !e.Served {
+		e.Served, e.Answer = true, answer
+	}
+}
+
+// Kind is what to do with a request that names an order.
+type Kind int
+
+// The kinds.
+const (
+	Fresh    Kind = iota // send it: nothing was, or nothing that ran
+	Again                // send it where and while repeats of Past are dropped
+	Replay               // give the answer that is kept
+	Mismatch             // the key was used for something else: send nothing
+	Unknown              // it may have run, and must not be sent: neither promise nor refuse
+	Done                 // it was served, and the answer is no longer kept
+)
+
+// String names the kind.
+func (k Kind) String() string {
+	return [...]string{"fresh", "again", "replay", "mismatch", "unknown", "done"}[k]
+}
+
+// Verdict is a judgement.
+type Verdict struct {
+	Kind Kind
+	Past []policy.Past // Again: for the decision module
+}
+
+// Judge says what follows for a request of class c, with the print of what it asks for, that names the order of which e is
+// known; nil is nothing. Margin is taken off the time for which servers drop repeats: what may pass between a send and its
+// arrival. Entries older than retention count as unknown by the wall clock, which is what their owner drops them by.
+//
+// It guards against an effect that takes place twice by two requests, as policy does by two attempts of one. An unsafe order
+// that may have run is never sent again. A keyed one is, within the window that began with the first such attempt and in the
+// group that got it; policy keeps to both by Past. An age that cannot be known, after the machine's restart or by clocks that
+// disagree, is as good as one past the window. It does harm where a server had in truth never begun: the client is told that
+// nobody knows.
+func Judge(c policy.Class, e *Entry, print [32]byte, now Instant, margin, retention time.Duration) Verdict {
+	switch {
+	case e == nil || e.First == 0 || retention > 0 && now.Wall-e.First > int64(retention):
+		return Verdict{Kind: Fresh}
+	case e.Print != print:
+		return Verdict{Kind: Mismatch}
+	case e.Served && e.Answer != nil:
+		return Verdict{Kind: Replay}
+	case e.Served:
+		return Verdict{Kind: Done}
+	case len(e.Attempts) == 0:
+		return Verdict{Kind: Fresh}
+	case c.Effect != policy.Keyed || len(e.Attempts) >= MostAttempts:
+		return Verdict{Kind: Unknown}
+	}
+	v := Verdict{Kind: Again}
+	for _, a := range e.Attempts {
+		age, known := now.Since(a.At)
+		if !known || age >= c.KeyTTL-margin {
+			return Verdict{Kind: Unknown}
+		}
+		v.Past = append(v.Past, policy.Past{Zone: a.Zone, Cell: a.Cell, Age: age})
+	}
+	return v
+}
+
+// version begins each entry as it is kept.
+const version = 1
+
+// ErrEntry tells that bytes are no entry of a version that this program knows.
+var ErrEntry = errors.New("ledger: no entry of a known version")
+
+// Marshal returns e as bytes: a version, and CBOR (RFC 8949) with numbers for names.
+func (e *Entry) Marshal() ([]byte, error) {
+	b, err := cbor.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("ledger: %w", err)
+	}
+	return append([]byte{version}, b...), nil
+}
+
+// Unmarshal reads an entry from bytes.
+func Unmarshal(b []byte) (*Entry, error) {
+	if len(b) == 0 || b[0] != version {
+		return nil, ErrEntry
+	}
+	e := &Entry{}
+	if err := cbor.Unmarshal(b[1:], e); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrEntry, err)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,136 @@
+package ledger
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"quillfront/policy"
+)
+
+const margin = 250 * time.Millisecond
+
+var (
+	order = policy.Class{Name: "order", Effect: policy.Keyed, KeyTTL: 1500 * time.Millisecond}
+	pay   = policy.Class{Name: "pay", Effect: policy.Unsafe}
+)
+
+func at(up time.Duration) Instant {
+	return Instant{Wall: int64(1e18) + int64(up), Boot: 7, Up: int64(time.Hour + up)}
+}
+
+// TestJudge is a table of what is known of an order, and what follows.
+func TestJudge(t *testing.T) {
+	print, other := [32]byte{1}, [32]byte{2}
+	entry := func(change func(*Entry)) *Entry {
+		e := &Entry{Print: print, First: at(0).Wall}
+		if change != nil {
+			change(e)
+		}
+		return e
+	}
+	sent := func(e *Entry) { e.Begin(Attempt{Server: "a", Zone: "z", Cell: 3, At: at(0)}) }
+	for _, tt := range []struct {
+		name  string
+		class policy.Class
+		entry *Entry
+		now   Instant
+		print [32]byte
+		want  Kind
+	}{
+		{"nothing is known", order, nil, at(0), print, Fresh},
+		{"taken, and never sent", order, entry(nil), at(time.Second), print, Fresh},
+		{"never sent, for something else", order, entry(nil), at(time.Second), other, Mismatch},
+		{"sent, within the window", order, entry(sent), at(time.Second), print, Again},
+		{"sent, at the window's end less the margin", order, entry(sent), at(1250 * time.Millisecond), print, Unknown},
+		{"sent, past the window", order, entry(sent), at(3 * time.Second), print, Unknown},
+		{"sent, for something else", order, entry(sent), at(time.Second), other, Mismatch},
+		{"sent, unsafe", pay, entry(sent), at(time.Millisecond), print, Unknown},
+		{"proven not to have run", pay, entry(func(e *Entry) { sent(e); e.NotRun(1) }), at(time.Second), print, Fresh},
+		{"one of two proven not to have run", pay, entry(func(e *Entry) { sent(e); sent(e); e.NotRun(1) }), at(time.Second), print, Unknown},
+		{"served", order, entry(func(e *Entry) { sent(e); e.Answered([]byte("x")) }), at(time.Hour), print, Replay},
+		{"served, for something else", order, entry(func(e *Entry) { sent(e); e.Answered([]byte("x")) }), at(time.Hour), other, Mismatch},
+		{"served, and the answer is not kept", order, entry(func(e *Entry) { sent(e); e.Answered(nil) }), at(time.Second), print, Done},
+		{"past the retention", pay, entry(sent), at(25 * time.Hour), print, Fresh},
+		{"the clock was set back", order, entry(sent), Instant{Wall: at(-time.Hour).Wall, Boot: 7, Up: at(time.Second).Up}, print, Again},
+		{"the clock was set back past the window", order, entry(sent), Instant{Wall: at(time.Second).Wall, Boot: 7, Up: at(time.Minute).Up}, print, Unknown},
+		{"the clock was set forward", order, entry(sent), Instant{Wall: at(time.Hour).Wall, Boot: 7, Up: at(time.Second).Up}, print, Again},
+		{"the machine was started anew", order, entry(sent), Instant{Wall: at(time.Second).Wall, Boot: 8, Up: at(time.Second).Up}, print, Unknown},
+		{"no clock of the machine", order, entry(sent), Instant{Wall: at(time.Second).Wall}, print, Unknown},
+		{"the machine's clock before the send", order, entry(sent), at(-time.Second), print, Unknown},
+	} {
+		v := Judge(tt.class, tt.entry, tt.print, tt.now, margin, 24*time.Hour)
+		if v.Kind != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, v.Kind, tt.want)
+		}
+		if v.Kind == Again && (len(v.Past) != 1 || v.Past[0].Zone != "z" || v.Past[0].Cell != 3 || v.Past[0].Age != time.Duration(tt.now.Up-at(0).Up)) {
+			t.Errorf("%s: past %+v", tt.name, v.Past)
+		}
+	}
+	many := entry(nil)
+	for range MostAttempts {
+		sent(many)
+	}
+	if v := Judge(order, many, print, at(0), margin, 0); v.Kind != Unknown {
+		t.Errorf("with %d attempts: %v", MostAttempts, v.Kind)
+	}
+}
+
+// TestNeverTwice: whatever has happened, an order that may have run is sent again only if it is keyed and every attempt that
+// may have run is within the window by a clock that nobody sets; and an entry comes back from its bytes as it was.
+func TestNeverTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := rapid.SampledFrom([]policy.Class{order, pay}).Draw(t, "class")
+		e := &Entry{Print: [32]byte{1}, First: at(0).Wall}
+		up, oldest, ran := time.Duration(0), map[int]time.Duration{}, false
+		for range rapid.IntRange(0, 20).Draw(t, "steps") {
+			up += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+			now := at(up)
+			now.Wall += int64(rapid.IntRange(-3600, 3600).Draw(t, "clock")) * int64(time.Second)
+			v := Judge(c, e, e.Print, now, margin, 0)
+			switch v.Kind {
+			case Fresh, Again:
+				for _, sent := range oldest {
+					if c.Effect != policy.Keyed || up-sent >= c.KeyTTL {
+						t.Fatalf("sent again %v after an attempt that may have run: %v", up-sent, v.Kind)
+					}
+				}
+				if ran {
+					t.Fatalf("sent again after it was served: %v", v.Kind)
+				}
+				n := e.Begin(Attempt{Server: "a", At: now})
+				switch rapid.IntRange(0, 3).Draw(t, "end") {
+				case 0:
+					e.NotRun(n)
+				case 1:
+					e.Answered([]byte("x"))
+					ran = true
+				default:
+					oldest[n] = up
+				}
+			case Replay:
+				if !ran {
+					t.Fatal("an answer that nobody gave")
+				}
+			}
+			b, err := e.Marshal()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if e, err = Unmarshal(b); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// TestUnmarshalErrors: what is no entry is an error.
+func TestUnmarshalErrors(t *testing.T) {
+	for _, b := range [][]byte{nil, {}, {2}, {version}, {version, 0xff}, []byte("nonsense")} {
+		if e, err := Unmarshal(b); !errors.Is(err, ErrEntry) {
+			t.Errorf("%x is %+v, %v", b, e, err)
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -124,7 +124,16 @@
 	Key     string
 	Cost    time.Duration // rough expected work; zero: unknown
 	Retry   bool
-	Expires Time // the client gives this try up
+	Expires Time   // the client gives this try up
+	Past    []Past // attempts under its key by requests before it, that may have run
+}
+
+// Past is an attempt that was made for an earlier request under the same key and may have run. It bars what an attempt of this
+// request's own would bar, and counts as none of its attempts.
+type Past struct {
+	Zone string
+	Cell int
+	Age  time.Duration // since it was sent
 }
 
 // Status says how an attempt or a probe ended.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -208,6 +208,9 @@
 		c = &class{Class: Class{Name: q.Class, Effect: Unsafe, Aim: left, Deadline: left}}
 	}
 	r := &request{Request: q, class: c}
+	for _, p := range q.Past {
+		r.past = append(r.past, attempt{zone: p.Zone, cell: p.Cell, sent: now - p.Age})
+	}
 	b.requests[q.ID] = r
 	r.began = c.began(now, q, b.cfg.Tick)
 	r.useful = r.began + c.Aim
@@ -580,26 +583,19 @@
 		r.out > 0 && !b.cfg.MayDuplicate {
 		return false
 	}
-	for _, a := range r.attempts {
-		if a.notRun {
-			continue
-		}
+	bars := func(a attempt) bool {
 		c := r.class
-		switch {
-		case c.Effect == Unsafe:
-			return false
-		case c.Effect == Keyed && (now >= a.sent+c.KeyTTL-b.cfg.DialTimeout-b.cfg.Tick ||
-			c.Group == GroupZone && a.zone != s.Zone || c.Group == GroupCell && a.cell != s.Cell):
-			return false
-		}
+		return !a.notRun && (c.Effect == Unsafe || c.Effect == Keyed && (now >= a.sent+c.KeyTTL-b.cfg.DialTimeout-b.cfg.Tick ||
+			c.Group == GroupZone && a.zone != s.Zone || c.Group == GroupCell && a.cell != s.Cell))
 	}
-	return true
+	return !slices.ContainsFunc(r.past, bars) && !slices.ContainsFunc(r.attempts, bars)
 }
 
-// mayRefuse is the one judge of whether a refusal, which promises that a retry is harmless, is true of r.
+// mayRefuse is the one judge of whether a refusal, which promises that a retry is harmless, is true of r. Of one that may have
+// run under its key before, at a time that its client cannot know, it is not.
 func mayRefuse(r *request) bool {
-	return r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll ||
-		!slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.notRun })
+	return len(r.past) == 0 && (r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll ||
+		!slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.notRun }))
 }
 
 // finish gives the final answer: a refusal where it is true and a retry could help, else a failure.
--- a/policy/state.go
+++ b/policy/state.go
@@ -164,6 +164,7 @@
 	probed   []*server     // by the round it has started
 	replies  int           // of them, to all its rounds
 	attempts []attempt
+	past     []attempt // of earlier requests under its key: they may have run
 	out      int
 	ended    bool
 	stream   bool // the answer has begun; the client has it
--- a/store/store.go
+++ b/store/store.go
@@ -25,6 +25,7 @@
 	MostBytes    int64            // of all segments; 256 MiB. What does not fit gives ErrFull
 	MostKeys     int              // 1,000,000. One more gives ErrFull
 	Retention    time.Duration    // how long a record is kept; 24 h
+	SyncEvery    time.Duration    // Buffered writes become durable about that often; 0: when a Synced one comes
 	Now          func() time.Time // time.Now
 }
 
@@ -78,6 +79,9 @@
 	closed   bool
 	failed   error // why the last write could not be made; nil: it could
 
+	stop    chan struct{} // ends batches
+	batches sync.WaitGroup
+
 	syncing sync.Mutex // held by the one that syncs
 	durable uint64     // the latest record known to be durable; under mu
 }
@@ -133,9 +137,32 @@
 		lock.Close()
 		return nil, err
 	}
+	if o.SyncEvery > 0 {
+		s.stop = make(chan struct{})
+		s.batches.Go(s.batch)
+	}
 	return s, nil
 }
 
+// batch makes durable what was written, every now and then. A sync that fails shows in Err, and at the next write.
+func (s *Store) batch() {
+	tick := time.NewTicker(s.o.SyncEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-tick.C:
+			s.mu.Lock()
+			behind := s.durable < s.seq
+			s.mu.Unlock()
+			if behind {
+				s.Sync()
+			}
+		}
+	}
+}
+
 // recover reads all segments. The first record that is not one ends the log, unless a later record shows that it had
 // been durable: each segment begins only once the one before is durable whole, so that only the last may be cut.
 func (s *Store) recover() error {
@@ -565,11 +592,18 @@
 func (s *Store) Close() error {
 	err := s.Sync()
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.closed {
+		s.mu.Unlock()
 		return ErrClosed
 	}
 	s.closed = true
+	s.mu.Unlock()
+	if s.stop != nil {
+		close(s.stop)
+		s.batches.Wait()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.out != nil {
 		err = errors.Join(err, s.out.Close())
 	}
