Compact the store, look after it from the command line, and kill the sidecar under orders

Need: a store that notes each order two or three times fills with records that count no more; operators could not look into it; and that a restart forgets no order had been shown for a desk in memory only.

Change: compaction copies what is live in the oldest segment behind the latest record, as records that keep their first time, and takes the segment away once the copies are durable; beside writes at 8 MiB a second when half the room is taken and a third of that is dead.

TestKilled kills the daemon eight times under orders whose clients ask again after the servers have forgotten: no effect twice with a store (sync, batched), some in memory.

--- /dev/null
+++ b/cmd/quillfront/store_test.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"quillfront/internal/conformance"
+	"quillfront/internal/standin"
+	"quillfront/policy"
+)
+
+// killed plays orders with a sidecar that is killed at random moments and started again, and returns how many orders there
+// were and how often one was executed beyond its first time. Boxes execute, and mostly break off their answers; they drop a
+// repeat for less time than clients wait before they ask again. operator is the operator's file.
+func killed(t *testing.T, operator string) (orders, twice int) {
+	t.Helper()
+	classes := []policy.Class{{
+		Name: "order", Effect: policy.Keyed, KeyTTL: 500 * time.Millisecond, Aim: 900 * time.Millisecond, Deadline: time.Second, Worth: 1,
+	}}
+	f, err := standin.NewFleet(classes, 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for i := range 3 {
+		b, err := f.Start(standin.BoxConfig{ID: fmt.Sprint("box-", i), Cores: 8, Work: 2 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Set(standin.Trouble{Break: 0.8})
+	}
+	known := f.Disco.List()
+	file := filepath.Join(t.TempDir(), "quillfront.toml")
+	if err := os.WriteFile(file, []byte(operator), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	platform := standin.Platform{Seed: 1, Known: &known, Classes: classes, Pushed: true, NoProbes: true}
+	s := start(t, string(platform.JSON()), "serve", "--config", file)
+	platform.Listen = s.addr
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var clients sync.WaitGroup
+	for c := range 16 {
+		tr := &http.Transport{}
+		defer tr.CloseIdleConnections()
+		clients.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				for range 4 { // tries of one order
+					q, err := http.NewRequest(http.MethodPost, "http://"+platform.Listen+"/order/f", strings.NewReader("water"))
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					q.Header.Set("Idempotency-Key", fmt.Sprintf("k-%d-%d", c, n))
+					q.Header.Set("X-Request-ID", fmt.Sprint("kill-", lastID.Add(1)))
+					q.Header.Set("X-Timeout-Ms", "400")
+					if resp, err := tr.RoundTrip(q); err == nil {
+						io.Copy(io.Discard, resp.Body)
+						resp.Body.Close()
+						if resp.StatusCode == http.StatusOK {
+							break
+						}
+					}
+					select {
+					case <-ctx.Done():
+						return
+					case <-time.After(550 * time.Millisecond):
+					}
+				}
+			}
+		})
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 8 {
+		time.Sleep(time.Duration(200+rng.IntN(400)) * time.Millisecond)
+		s.Process.Kill()
+		s.Wait()
+		s = start(t, string(platform.JSON()), "serve", "--config", file)
+	}
+	stop()
+	clients.Wait()
+	s.Process.Kill()
+	s.Wait()
+	e := f.Effects()
+	return e.Keys, e.Duplicates
+}
+
+// TestKilled: with a store no order takes effect twice however often the sidecar is killed; with a memory that dies with it some do,
+// so that the test can fail.
+func TestKilled(t *testing.T) {
+	dir := t.TempDir()
+	for _, durability := range []string{"sync", "batched"} { // both survive the process
+		path := filepath.Join(dir, durability)
+		orders, twice := killed(t, fmt.Sprintf("[store]\npath = %q\ndurability = %q\n", path, durability))
+		if twice > 0 || orders < 50 {
+			t.Errorf("%s: %d of %d orders took effect again", durability, twice, orders)
+		}
+		var out bytes.Buffer
+		if err := storeCheck(&out, path); err != nil || !strings.HasPrefix(out.String(), "whole: ") {
+			t.Errorf("%s: %q, %v", durability, out.String(), err)
+		}
+	}
+	if orders, twice := killed(t, "[store]\n"); twice == 0 {
+		t.Errorf("in memory none of %d orders took effect again: the test shows nothing", orders)
+	}
+}
+
+// TestStoreCommands: what a sidecar has noted can be checked, read and compacted, and a bit that has flipped is named by file and offset.
+func TestStoreCommands(t *testing.T) {
+	f, err := standin.NewFleet(conformance.Classes(), 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if _, err := f.Start(standin.BoxConfig{ID: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	dir := filepath.Join(t.TempDir(), "orders")
+	file := filepath.Join(t.TempDir(), "quillfront.toml")
+	if err := os.WriteFile(file, fmt.Appendf(nil, "[store]\npath = %q\nmost_bytes = 1048576\n", dir), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	known := f.Disco.List()
+	s := start(t, string(standin.Platform{Seed: 1, Known: &known, Classes: conformance.Classes(), Pushed: true, NoProbes: true}.JSON()), "serve", "--config", file)
+	for range 2 {
+		for _, body := range []string{"one", "other"} {
+			q, err := http.NewRequest(http.MethodPost, "http://"+s.addr+"/order/f", strings.NewReader(body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			q.Header.Set("Idempotency-Key", "mine")
+			q.Header.Set("X-Request-ID", fmt.Sprint("cmd-", lastID.Add(1)))
+			resp, err := http.DefaultClient.Do(q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if want := map[string]int{"one": 200, "other": 422}[body]; resp.StatusCode != want {
+				t.Errorf("%s: %d, want %d", body, resp.StatusCode, want)
+			}
+		}
+	}
+	run := func(args ...string) (string, error) {
+		var out bytes.Buffer
+		c := root()
+		c.SetArgs(append([]string{"store"}, args...))
+		c.SetOut(&out)
+		err := c.ExecuteContext(t.Context())
+		return out.String(), err
+	}
+	if out, err := run("check", dir); err == nil {
+		t.Errorf("of a sidecar that runs: %s", out)
+	}
+	s.Process.Signal(os.Interrupt)
+	s.Wait()
+	if out, err := run("check", dir); err != nil || !strings.HasPrefix(out, "whole: 1 orders, 1 served") {
+		t.Errorf("check: %q, %v", out, err)
+	}
+	if out, err := run("dump", dir); err != nil || !strings.Contains(out, `"class":"order","key":"mine"`) {
+		t.Errorf("dump: %q, %v", out, err)
+	}
+	if out, err := run("compact", dir); err != nil || !strings.Contains(out, "bytes in 1 segments") {
+		t.Errorf("compact: %q, %v", out, err)
+	}
+	segments, err := filepath.Glob(filepath.Join(dir, "*.seg"))
+	if err != nil || len(segments) != 1 {
+		t.Fatal(segments, err)
+	}
+	b, err := os.ReadFile(segments[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	b[40] ^= 1
+	if err := os.WriteFile(segments[0], b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := run("check", dir); err == nil || !strings.Contains(err.Error(), filepath.Base(segments[0])+" at offset 24") {
+		t.Errorf("with a bit flipped: %q, %v", out, err)
+	}
+	if _, err := run("check", filepath.Join(dir, "none")); err == nil {
+		t.Error("a directory that does not exist is whole")
+	}
+}
--- /dev/null
+++ b/internal/config/operator_test.go
@@ -0,0 +1,54 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"quillfront/internal/orders"
+)
+
+// TestOperator: the file that the repository ships is read, and what is wrong in one is named with file, line and key.
+func TestOperator(t *testing.T) {
+	o, err := LoadOperator(filepath.Join("..", "..", "deploy", "quillfront.toml"))
+	if err != nil || o.Store == nil || o.Store.Dir != "/var/lib/quillfront" || o.Store.Durability != orders.Sync ||
+		o.Store.ByClass["meter-booking"] != 12*time.Hour || o.Store.SyncEvery != 10*time.Millisecond {
+		t.Errorf("%+v, %v", o.Store, err)
+	}
+	if o, err := parseOperator(""); err != nil || o.Store != nil {
+		t.Errorf("an empty file: %+v, %v", o, err)
+	}
+	for text, want := range map[string][]string{
+		"[store]\npath = \"x\"\nfoo = 1\n":              {"line 3", "store.foo"},
+		"[stor]\npath = \"x\"\n":                        {"line 1", "stor"},
+		"[store]\npath = 7\n":                           {"line 2", "path"},
+		"[store]\n\nretention = \"a day\"\n":            {"line 3", "retention", "a day"},
+		"[store]\nretention = \"0.5s\"\n":               {"retention"},
+		"[store]\ndurability = \"sometimes\"\n":         {"durability", "sometimes"},
+		"[store]\nmost_bytes = 5\n":                     {"most_bytes"},
+		"[store]\nmost_orders = -1\n":                   {"most_orders"},
+		"[store]\nsync_every = \"2m\"\n":                {"sync_every"},
+		"[store.retention_by_class]\norder = \"48h\"\n": {"retention_by_class.order"},
+		"[store\n": {"line 2", "table name"},
+	} {
+		path := filepath.Join(t.TempDir(), "quillfront.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadOperator(path)
+		if err == nil {
+			t.Errorf("%q is taken", text)
+			continue
+		}
+		for _, part := range append(want, path) {
+			if !strings.Contains(err.Error(), part) {
+				t.Errorf("%q: %v, which does not name %s", text, err, part)
+			}
+		}
+		if strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: more than a line: %v", text, err)
+		}
+	}
+}
--- a/internal/orders/config.go
+++ b/internal/orders/config.go
@@ -20,6 +20,9 @@
 	Buffered Durability = "buffered" // once the system has it, which writes it when it likes
 )
 
+// compactRate is how many bytes a second compaction may copy beside writes.
+const compactRate = 8 << 20
+
 // Config says where and how orders are noted. Zero values take the defaults.
 type Config struct {
 	Dir        string        // a directory that outlasts the process; empty: in memory, for the process's life
@@ -103,6 +106,7 @@
 	}
 	o := store.Options{
 		SegmentBytes: min(4<<20, c.MostBytes/4), MostBytes: c.MostBytes, MostKeys: c.MostOrders, Retention: c.Retention,
+		CompactRate: compactRate,
 	}
 	if c.Durability == Batched {
 		o.SyncEvery = c.SyncEvery
--- a/store/record.go
+++ b/store/record.go
@@ -14,6 +14,8 @@
 //	record:  uint32 CRC-32C of all that follows, uint32 length of key, uint32 length of value, uint64 sequence,
 //	         uint64 durable, int64 time (Unix nanoseconds), uint8 kind, key, value
 //
+// The value of a copied record begins with the time at which it was first written.
+//
 // Durable is the latest sequence that was known to be durable when the record was written: it tells a bit that has flipped,
 // behind which such a record stands, from a cut. Sequences rise by one from record to record, within a segment and from one to the next. A record whose checksum,
 // lengths or sequence do not fit is not one.
@@ -36,19 +38,37 @@
 const (
 	put kind = 1 + iota
 	remove
+	copied // as put, of a value that was written before: its value begins with the time of that, int64 Unix nanoseconds
 )
 
+// copiedHead is what stands before the value of a copied record.
+const copiedHead = 8
+
 // record is one record.
 type record struct {
 	seq     uint64
 	durable uint64 // the latest sequence known to be durable when it was written
 	at      int64  // Unix nanoseconds
 	kind    kind
+	first   int64 // copied: when the value was first written
 	key     []byte
 	value   []byte
 }
 
-func (r *record) size() int { return recordHead + len(r.key) + len(r.value) }
+func (r *record) size() int {
+	if r.kind == copied {
+		return recordHead + copiedHead + len(r.key) + len(r.value)
+	}
+	return recordHead + len(r.key) + len(r.value)
+}
+
+// written is when the record's value was first written.
+func (r *record) written() int64 {
+	if r.kind == copied {
+		return r.first
+	}
+	return r.at
+}
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
@@ -57,12 +77,15 @@
 	from := len(b)
 	b = append(b, 0, 0, 0, 0)
 	b = binary.LittleEndian.AppendUint32(b, uint32(len(r.key)))
-	b = binary.LittleEndian.AppendUint32(b, uint32(len(r.value)))
+	b = binary.LittleEndian.AppendUint32(b, uint32(r.size()-recordHead-len(r.key)))
 	b = binary.LittleEndian.AppendUint64(b, r.seq)
 	b = binary.LittleEndian.AppendUint64(b, r.durable)
 	b = binary.LittleEndian.AppendUint64(b, uint64(r.at))
 	b = append(b, byte(r.kind))
 	b = append(b, r.key...)
+	if r.kind == copied {
+		b = binary.LittleEndian.AppendUint64(b, uint64(r.first))
+	}
 	b = append(b, r.value...)
 	binary.LittleEndian.PutUint32(b[from:], crc32.Checksum(b[from+4:], castagnoli))
 	return b
@@ -81,7 +104,7 @@
 		return record{}, errShort
 	}
 	keyLen, valueLen := binary.LittleEndian.Uint32(b[4:]), binary.LittleEndian.Uint32(b[8:])
-	if keyLen > MostKey || valueLen > MostValue {
+	if keyLen > MostKey || valueLen > MostValue+copiedHead {
 		return record{}, errRecord
 	}
 	size := recordHead + int(keyLen) + int(valueLen)
@@ -96,7 +119,13 @@
 		at: int64(binary.LittleEndian.Uint64(b[28:])), kind: kind(b[36]),
 		key: b[recordHead : recordHead+int(keyLen)], value: b[recordHead+int(keyLen) : size],
 	}
-	if r.kind != put && r.kind != remove || r.kind == remove && valueLen > 0 || keyLen == 0 {
+	switch {
+	case keyLen == 0:
+		return record{}, errRecord
+	case r.kind == put && valueLen <= MostValue, r.kind == remove && valueLen == 0:
+	case r.kind == copied && valueLen >= copiedHead:
+		r.first, r.value = int64(binary.LittleEndian.Uint64(r.value)), r.value[copiedHead:]
+	default:
 		return record{}, errRecord
 	}
 	return r, nil
