--- a/balancer.go
+++ b/balancer.go
@@ -15,7 +15,7 @@
 //
 // # What a restart forgets
 //
-// A Balancer keeps everything in memory. After the process has ended nothing is known of the requests it had passed on: a
+// Unless WithOrders says otherwise a Balancer keeps everything in memory, and nothing of a request that has ended. After the process has ended nothing is known of the requests it had passed on: a
 // client that asks again then is served as a new one, and it is up to the servers' own memory (KeyWindow) whether the
 // effect takes place a second time. Within one process, too, a Balancer looks at one request at a time: two requests under
 // one Idempotency-Key, one after the other, are two requests to it. Nothing here claims more than that.
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -521,6 +521,9 @@
 	if n := f.Boxes()[0].Counts().Requests; n != 2 {
 		t.Errorf("%d requests were sent, want 2", n)
 	}
+	if o := b.Snapshot().Orders; o == nil || o.Replayed != 1 || o.Mismatched != 1 || o.Unknown != 2 || o.Failing != "" {
+		t.Errorf("snapshot %+v", o)
+	}
 }
 
 // TestTwoBalancers: two in one process share nothing.
--- a/cmd/quillfront/store_test.go
+++ b/cmd/quillfront/store_test.go
@@ -110,8 +110,10 @@
 			t.Errorf("%s: %q, %v", durability, out.String(), err)
 		}
 	}
-	if orders, twice := killed(t, "[store]\n"); twice == 0 {
-		t.Errorf("in memory none of %d orders took effect again: the test shows nothing", orders)
+	for name, operator := range map[string]string{"in memory": "[store]\n", "off": ""} {
+		if orders, twice := killed(t, operator); twice == 0 {
+			t.Errorf("%s: none of %d orders took effect again: the test shows nothing", name, orders)
+		}
 	}
 }
 
--- a/path_bench_test.go
+++ b/path_bench_test.go
@@ -22,6 +22,7 @@
 	"quillfront/internal/config"
 	"quillfront/internal/daemon"
 	"quillfront/internal/engine"
+	"quillfront/internal/orders"
 	"quillfront/internal/standin"
 	"quillfront/policy"
 )
@@ -81,26 +82,10 @@
 			return behind(b, proxy)
 		}},
 		{"handler", func(b *testing.B) (http.RoundTripper, string) { return behind(b, library(b).Handler()) }},
-		{"daemon", func(b *testing.B) (http.RoundTripper, string) {
-			cfg, err := config.Parse(text)
-			if err != nil {
-				b.Fatal(err)
-			}
-			s, err := daemon.New(cfg, config.Operator{}, slog.New(slog.DiscardHandler))
-			if err != nil {
-				b.Fatal(err)
-			}
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
-			}
-			ctx, stop := context.WithCancel(context.Background())
-			over := make(chan error, 1)
-			go func() { over <- s.Serve(ctx, ln.(*net.TCPListener)) }()
-			tr := transport()
-			b.Cleanup(func() { tr.CloseIdleConnections(); stop(); <-over })
-			return tr, "http://" + ln.Addr().String()
-		}},
+		{"daemon", sidecar(text, nil)},
+		{"daemon-memory", sidecar(text, &orders.Config{})},
+		{"daemon-batched", sidecar(text, &orders.Config{Durability: orders.Batched})},
+		{"daemon-sync", sidecar(text, &orders.Config{Durability: orders.Sync})},
 	}
 	for _, clients := range []int{1, 16} {
 		for _, p := range paths {
@@ -112,6 +97,38 @@
 	}
 }
 
+// sidecar starts a daemon that notes orders as store says, in a directory of its own unless that is in memory.
+func sidecar(text []byte, store *orders.Config) func(b *testing.B) (http.RoundTripper, string) {
+	return func(b *testing.B) (http.RoundTripper, string) {
+		cfg, err := config.Parse(text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var op config.Operator
+		if store != nil {
+			c := *store
+			if c.Durability != "" {
+				c.Dir = b.TempDir()
+			}
+			op.Store = &c
+		}
+		s, err := daemon.New(cfg, op, slog.New(slog.DiscardHandler))
+		if err != nil {
+			b.Fatal(err)
+		}
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		over := make(chan error, 1)
+		go func() { over <- s.Serve(ctx, ln.(*net.TCPListener)) }()
+		tr := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+		b.Cleanup(func() { tr.CloseIdleConnections(); stop(); <-over })
+		return tr, "http://" + ln.Addr().String()
+	}
+}
+
 // load has clients ask until b.N requests are answered, and reports the 99th percentile beside the mean.
 func load(b *testing.B, rt http.RoundTripper, base string, clients int) {
 	body := bytes.Repeat([]byte("y"), 200)
--- a/snapshot.go
+++ b/snapshot.go
@@ -18,6 +18,19 @@
 	Threshold   float64
 	ReadySet    int
 	Servers     []ServerSnapshot // in the order of their IDs
+	Orders      *OrdersSnapshot  // nil without WithOrders
+}
+
+// OrdersSnapshot is what became of requests that named an order.
+type OrdersSnapshot struct {
+	Open       int    // orders that a request or an attempt holds
+	Replayed   int64  // answered from memory
+	Joined     int64  // waited for another's answer
+	Again      int64  // went on though an earlier one may have run
+	Mismatched int64  // used a key for something else
+	Unknown    int64  // were not sent, as an earlier one may have run
+	Unwritable int64  // were refused because nothing could be noted
+	Failing    string // why nothing can be noted now; empty: it can
 }
 
 // ServerSnapshot is what a Balancer believes of one server.
@@ -44,6 +57,16 @@
 		Watching: e.Watching, Threshold: e.Beliefs.Threshold, ReadySet: e.Beliefs.ReadySet,
 		Servers: make([]ServerSnapshot, len(e.Servers)),
 	}
+	if b.desk != nil {
+		d := b.desk.Stats()
+		s.Orders = &OrdersSnapshot{
+			Open: d.Open, Replayed: d.Replayed, Joined: d.Joined, Again: d.Again, Mismatched: d.Mismatched, Unknown: d.Unknown,
+			Unwritable: d.Unwritable,
+		}
+		if d.Failing != nil {
+			s.Orders.Failing = d.Failing.Error()
+		}
+	}
 	if math.IsInf(s.Threshold, 1) {
 		s.Threshold = -1
 	}
--- a/store/compare/compare_test.go
+++ b/store/compare/compare_test.go
@@ -161,6 +161,38 @@
 	}
 }
 
+// BenchmarkCompaction puts a record every 300 us under keys that are written again, without compaction and beside it.
+func BenchmarkCompaction(b *testing.B) {
+	for _, rate := range []int64{0, 8 << 20} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			o := store.Options{SegmentBytes: 1 << 20, MostBytes: 1 << 30, CompactRate: rate}
+			if rate > 0 {
+				o.MostBytes = 8 << 20
+			}
+			s, err := store.Open(store.Dir(b.TempDir()), o)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer s.Close()
+			var all []time.Duration
+			began := time.Now()
+			for i := range b.N {
+				time.Sleep(time.Until(began.Add(time.Duration(i) * 300 * time.Microsecond)))
+				at := time.Now()
+				if err := s.Put(key(i%9000), value(i), store.Buffered); err != nil {
+					b.Fatal(err)
+				}
+				all = append(all, time.Since(at))
+			}
+			slices.Sort(all)
+			st := s.Stats()
+			b.ReportMetric(float64(all[len(all)*99/100].Nanoseconds())/1e3, "p99-us")
+			b.ReportMetric(float64(all[len(all)-1].Nanoseconds())/1e3, "max-us")
+			b.ReportMetric(float64(st.Bytes)/float64(st.Live), "bytes/live")
+		})
+	}
+}
+
 var million = os.Getenv("COMPARE_KEYS")
 
 // BenchmarkOpen opens what holds that many keys, and tells what of memory it then takes for each.
