Begin routes: a table that finds the most specific route, splits by weight, and a list in a file

Need: one process has one fleet, and a class can only be the first part of a path, so that other installations cannot use it.

Change: routes, without I/O: hosts, methods, paths, headers and query, a stated total order, errors that name both routes where two cannot be told apart or one is never reached; key, tenant and effect of a request; weighted rendezvous hashing that holds keyed requests with their pool for a window. [[routes]] in the operator's file is checked, and quillfront routes check and explain go by it; serve does not use it yet. quillfront.File takes a list from a watched file. One transport and one module in memory serve the tests of the front and of the desk.

--- a/architecture_test.go
+++ b/architecture_test.go
@@ -16,6 +16,7 @@
 		"internal/discovery": {"quillfront/internal/httpfront", "quillfront/internal/upstream"},
 		"internal/httpmsg":   {"quillfront/internal/", "net"},
 		"internal/httpcall":  {"quillfront/internal/upstream", "quillfront/internal/orders", "net", "os"},
+		"routes":             {"quillfront/internal/", "quillfront/store", "os", "io", "sync", "time.Now"},
 		"ledger":             {"quillfront/internal/", "quillfront/store", "net", "net/http", "os", "io", "sync"},
 		"internal/orders":    {"quillfront/internal/http", "quillfront/internal/upstream", "net", "net/http"},
 		"internal/engine":    {"quillfront/internal/", "net", "net/http"},
--- a/cmd/quillfront/main.go
+++ b/cmd/quillfront/main.go
@@ -49,7 +49,7 @@
 		RunE: serve,
 	}
 	served.Flags().String("config", "", "the operator's own file, such as deploy/quillfront.toml; without it all that it turns on is off")
-	root.AddCommand(demoCommand(), storeCommand(), served)
+	root.AddCommand(demoCommand(), storeCommand(), routesCommand(), served)
 	return root
 }
 
--- /dev/null
+++ b/cmd/quillfront/routes.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"quillfront/internal/config"
+	"quillfront/internal/httpcall"
+	"quillfront/routes"
+)
+
+// routesCommand says what a file's routes would do with a request.
+func routesCommand() *cobra.Command {
+	c := &cobra.Command{Use: "routes", Short: "Check the routes of an operator's file, and explain what they do with a request"}
+	check := &cobra.Command{
+		Use: "check FILE", Short: "Tell all that is wrong with the routes",
+		Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+			op, err := config.LoadOperator(args[0])
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%d routes, each of which some request can reach\n", len(op.Routes))
+			return err
+		},
+	}
+	explain := &cobra.Command{
+		Use: "explain FILE METHOD URL", Short: "Tell which route a request takes, and why",
+		Args: cobra.ExactArgs(3),
+	}
+	headers := explain.Flags().StringArrayP("header", "H", nil, "a header of the request, as NAME: VALUE; may be given often")
+	explain.RunE = func(cmd *cobra.Command, args []string) error {
+		op, err := config.LoadOperator(args[0])
+		if err != nil {
+			return err
+		}
+		return explainRoute(cmd.OutOrStdout(), op, args[1], args[2], *headers)
+	}
+	c.AddCommand(check, explain)
+	return c
+}
+
+// explainRoute writes what becomes of a request.
+func explainRoute(w io.Writer, op config.Operator, method, address string, headers []string) error {
+	u, err := url.Parse(address)
+	if err != nil {
+		return err
+	}
+	h := http.Header{}
+	for _, line := range headers {
+		name, value, ok := strings.Cut(line, ":")
+		if !ok {
+			return fmt.Errorf("-H %q: want NAME: VALUE", line)
+		}
+		h.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+	}
+	if _, err := httpcall.PathOf(u.RequestURI()); err != nil {
+		_, err := fmt.Fprintf(w, "400: %v\n", err)
+		return err
+	}
+	table, err := routes.New(op.Routes)
+	if err != nil {
+		return err
+	}
+	found, err := table.Find(&routes.Request{Host: u.Host, Method: method, Target: u.RequestURI(), Header: h.Values})
+	var wrong *routes.MethodError
+	switch {
+	case errors.As(err, &wrong):
+		_, err = fmt.Fprintf(w, "405: %v\n", err)
+		return err
+	case errors.Is(err, routes.ErrNoRoute):
+		_, err = fmt.Fprintln(w, "404: no route matches")
+		return err
+	case err != nil:
+		_, err = fmt.Fprintf(w, "400: %v\n", err)
+		return err
+	}
+	e := found.Explain(h.Get("Idempotency-Key") != "")
+	for _, line := range e {
+		if _, err := fmt.Fprintf(w, "%-8s %s\n", line.Name, line.Text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -11,16 +12,19 @@
 	"github.com/BurntSushi/toml"
 
 	"quillfront/internal/orders"
+	"quillfront/routes"
 )
 
 // Operator is the operator's own file: what the platform knows nothing of. A part that the file lacks is off.
 type Operator struct {
-	Store *orders.Config
+	Store  *orders.Config
+	Routes []routes.Route // checked against each other
 }
 
 // operatorFile is the file as it stands.
 type operatorFile struct {
-	Store *storeTable `toml:"store"`
+	Store  *storeTable  `toml:"store"`
+	Routes []routeTable `toml:"routes"`
 }
 
 type storeTable struct {
@@ -88,9 +92,24 @@
 		}
 		o.Store = &c
 	}
+	for i := range f.Routes {
+		r, err := f.Routes[i].route(i)
+		if err != nil {
+			return Operator{}, err
+		}
+		o.Routes = append(o.Routes, r)
+	}
+	if _, err := routes.New(o.Routes); err != nil {
+		return Operator{}, err
+	}
 	return o, nil
 }
 
+// sortedKeys returns the keys of m in order.
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
 // cleared is what is wrong by a ParseError, in one line and with the key if there is one.
 func cleared(e toml.ParseError) string {
 	if e.LastKey != "" {
--- /dev/null
+++ b/internal/config/routes.go
@@ -0,0 +1,112 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"quillfront/routes"
+)
+
+// routeTable is a route as the operator's file has it.
+type routeTable struct {
+	Name     string             `toml:"name"`
+	Hosts    []string           `toml:"hosts"`
+	Methods  []string           `toml:"methods"`
+	Path     string             `toml:"path"`
+	Headers  []conditionTable   `toml:"headers"`
+	Query    []conditionTable   `toml:"query"`
+	Order    int                `toml:"order"`
+	Class    string             `toml:"class"`
+	Pool     string             `toml:"pool"`
+	Split    map[string]float64 `toml:"split"`
+	Override string             `toml:"override_header"`
+	Fallback string             `toml:"fallback_pool"`
+	Key      []string           `toml:"key"`
+	Tenant   []string           `toml:"tenant"`
+	Timeout  duration           `toml:"timeout"`
+	Effect   string             `toml:"effect"`
+	TrustKey bool               `toml:"trust_idempotency_key"`
+}
+
+// conditionTable is a condition: a name alone says that it must be there.
+type conditionTable struct {
+	Name    string `toml:"name"`
+	Exact   string `toml:"exact"`
+	Pattern string `toml:"pattern"`
+}
+
+var routeEffects = map[string]routes.Effect{
+	"": routes.ByMethod, "by-method": routes.ByMethod, "safe": routes.Safe, "keyed": routes.Keyed, "unsafe": routes.Unsafe,
+}
+
+// route reads the i-th table.
+func (t *routeTable) route(i int) (routes.Route, error) {
+	wrong := func(key, format string, args ...any) (routes.Route, error) {
+		name := t.Name
+		if name == "" {
+			name = fmt.Sprintf("number %d", i+1)
+		}
+		return routes.Route{}, fmt.Errorf("[[routes]] %s: %s: %s", name, key, fmt.Sprintf(format, args...))
+	}
+	effect, known := routeEffects[t.Effect]
+	switch {
+	case !known:
+		return wrong("effect", "%q is none of by-method, safe, keyed and unsafe", t.Effect)
+	case t.Pool == "" && len(t.Split) == 0:
+		return wrong("pool", "neither pool nor split is set")
+	case t.Pool != "" && len(t.Split) > 0:
+		return wrong("split", "both pool and split are set")
+	case t.Timeout < 0:
+		return wrong("timeout", "%v is negative", time.Duration(t.Timeout))
+	}
+	r := routes.Route{
+		Name:  t.Name,
+		Match: routes.Match{Hosts: t.Hosts, Methods: t.Methods, Path: t.Path, Headers: listed(t.Headers), Query: listed(t.Query)},
+		Order: t.Order, Class: t.Class, Override: t.Override, Fallback: t.Fallback, Timeout: time.Duration(t.Timeout),
+		Effect: effect, TrustKey: t.TrustKey,
+	}
+	if t.Pool != "" {
+		r.Pools = []routes.Weighted{{Pool: t.Pool, Weight: 1}}
+	}
+	for _, pool := range sortedKeys(t.Split) {
+		r.Pools = append(r.Pools, routes.Weighted{Pool: pool, Weight: t.Split[pool]})
+	}
+	for key, from := range map[string][]string{"key": t.Key, "tenant": t.Tenant} {
+		for _, text := range from {
+			p, err := part(text)
+			if err != nil {
+				return wrong(key, "%v", err)
+			}
+			if key == "key" {
+				r.Key = append(r.Key, p)
+			} else {
+				r.Tenant = append(r.Tenant, p)
+			}
+		}
+	}
+	return r, nil
+}
+
+func listed(tables []conditionTable) (list []routes.Condition) {
+	for _, c := range tables {
+		list = append(list, routes.Condition(c))
+	}
+	return list
+}
+
+// part reads where a value is taken from: "path:NAME", "header:NAME" or "query:NAME".
+func part(text string) (routes.Part, error) {
+	from, name, ok := strings.Cut(text, ":")
+	if ok && name != "" {
+		switch from {
+		case "path":
+			return routes.Part{Path: name}, nil
+		case "header":
+			return routes.Part{Header: name}, nil
+		case "query":
+			return routes.Part{Query: name}, nil
+		}
+	}
+	return routes.Part{}, fmt.Errorf("%q is none of path:NAME, header:NAME and query:NAME", text)
+}
--- a/internal/httpfront/connection_fuzz_test.go
+++ b/internal/httpfront/connection_fuzz_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,7 +10,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,54 +17,20 @@
 	"quillfront/internal/engine"
 	"quillfront/internal/httpmsg"
 	"quillfront/internal/sockets"
+	"quillfront/internal/standin"
 	"quillfront/policy"
 )
 
-// simple is a module that sends each request once.
-type simple struct{ engine.Module }
-
-func (simple) Members(policy.Time, policy.ListKind, []policy.Server, policy.Actions) {}
-
-func (simple) Request(_ policy.Time, q policy.Request, act policy.Actions) {
-	act.Send(q.ID, "a", time.Second)
-}
-
-func (simple) Outcome(_ policy.Time, o policy.Outcome, act policy.Actions) {
-	if !o.Closed {
-		act.Fail(o.ID)
-	}
-}
-
-func (simple) Withdrawn(_ policy.Time, id policy.RequestID, act policy.Actions) { act.Cancel(id, 0) }
-
-// numbering answers each attempt, after some time, with its number.
-type numbering struct{ n atomic.Int64 }
-
-func (f *numbering) Do(a *engine.Attempt, _ engine.Endpoint) engine.Ending {
-	n := f.n.Add(1)
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
-	defer cancel()
-	called := make(chan struct{})
-	if !a.OnCancel(sync.OnceFunc(func() { close(called) })) {
-		return engine.Ending{Status: policy.Canceled}
-	}
-	select {
-	case <-ctx.Done():
-	case <-called:
-		return engine.Ending{Status: policy.Canceled}
-	}
-	if !a.OnCancel(nil) {
-		return engine.Ending{Status: policy.Canceled}
-	}
-	return engine.Ending{Status: policy.OK, Reply: &httpmsg.Answer{Body: strconv.AppendInt(nil, n, 10)}}
-}
-
-func (*numbering) Probe(context.Context, engine.Endpoint) (policy.Status, *policy.Load) {
-	return policy.Moot, nil
+// answering returns a transport that answers each attempt, after some time, with its number.
+func answering() *standin.Attempts {
+	return &standin.Attempts{End: func(n int, a *engine.Attempt, _ engine.Endpoint) engine.Ending {
+		if !standin.Hold(a, 10*time.Millisecond, nil) {
+			return engine.Ending{Status: policy.Canceled}
+		}
+		return engine.Ending{Status: policy.OK, Reply: &httpmsg.Answer{Body: strconv.AppendInt(nil, int64(n), 10)}}
+	}}
 }
 
-func (*numbering) HangUp(engine.Endpoint) {}
-
 var classes = []policy.Class{{Name: "read", Effect: policy.Safe, Deadline: time.Second}, {Name: "pay", Effect: policy.Unsafe, Deadline: time.Second}}
 
 // TestConnection: what FuzzConnection counts is there. Two requests, the second behind the answer to the first, have two answers.
@@ -107,10 +71,10 @@
 
 // connection writes text to a server, cut by cuts: each tells the length of a piece, and by its high bit a pause behind it.
 func connection(classes []policy.Class, text, cuts []byte, half bool) (answers int, err error) {
-	transport := &numbering{}
+	transport := answering()
 	log := slog.New(slog.DiscardHandler)
 	e := engine.New(engine.Options{
-		Config: policy.Config{Classes: classes}, Module: simple{}, Transport: transport, Log: log,
+		Config: policy.Config{Classes: classes}, Module: standin.Once{Server: "a"}, Transport: transport, Log: log,
 		Known: &engine.List{Whole: true, Servers: []engine.Server{{ID: "a", Addr: "nowhere", State: policy.Ready}}},
 	})
 	defer e.Close()
@@ -177,7 +141,7 @@
 		}
 		over = resp.Close
 	}
-	if n := transport.n.Load(); int64(len(served)) > n {
+	if n := len(transport.Sent()); len(served) > n {
 		return 0, fmt.Errorf("%d served, and %d sent", len(served), n)
 	}
 	return len(served), nil
--- a/internal/httpfront/idle_test.go
+++ b/internal/httpfront/idle_test.go
@@ -13,6 +13,7 @@
 
 	"quillfront/internal/engine"
 	"quillfront/internal/sockets"
+	"quillfront/internal/standin"
 	"quillfront/policy"
 )
 
@@ -20,7 +21,7 @@
 // goroutine gets its turn; a connection on which nothing came is closed.
 func TestRequestThatCrossedTheDeadline(t *testing.T) {
 	log := slog.New(slog.DiscardHandler)
-	e := engine.New(engine.Options{Config: policy.Config{}, Module: simple{}, Transport: &numbering{}, Log: log})
+	e := engine.New(engine.Options{Config: policy.Config{}, Module: standin.Once{}, Transport: answering(), Log: log})
 	defer e.Close()
 	s := New(e, nil, NewRoom(24), sockets.New(64), log)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/orders/desk_test.go
+++ b/internal/orders/desk_test.go
@@ -1,8 +1,8 @@
 package orders
 
 import (
-	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -11,6 +11,7 @@
 	"go.uber.org/goleak"
 
 	"quillfront/internal/engine"
+	"quillfront/internal/standin"
 	"quillfront/ledger"
 	"quillfront/policy"
 )
@@ -26,36 +27,6 @@
 	{Name: "pay", Effect: policy.Unsafe, Aim: 9 * time.Second, Deadline: 10 * time.Second, Worth: 1},
 }
 
-// servers is a transport whose attempts end as the test says.
-type servers struct {
-	mu   sync.Mutex
-	sent []string // the servers that got an attempt, in order
-	end  func(n int, a *engine.Attempt, to engine.Endpoint) engine.Ending
-}
-
-func (s *servers) Do(a *engine.Attempt, to engine.Endpoint) engine.Ending {
-	s.mu.Lock()
-	s.sent = append(s.sent, string(to.ID))
-	n, end := len(s.sent), s.end
-	s.mu.Unlock()
-	if end == nil {
-		return engine.Ending{Status: policy.OK, Reply: "reply"}
-	}
-	return end(n, a, to)
-}
-
-func (*servers) Probe(context.Context, engine.Endpoint) (policy.Status, *policy.Load) {
-	return policy.Moot, nil
-}
-
-func (*servers) HangUp(engine.Endpoint) {}
-
-func (s *servers) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.sent)
-}
-
 // lost is the ending of an attempt that may have run.
 func lost(int, *engine.Attempt, engine.Endpoint) engine.Ending {
 	return engine.Ending{Status: policy.Reset}
@@ -64,14 +35,14 @@
 // texts is a codec of strings.
 type texts struct{}
 
-func (texts) Encode(reply any) []byte      { return []byte(reply.(string)) }
+func (texts) Encode(reply any) []byte      { return fmt.Append(nil, reply) }
 func (texts) Decode(b []byte) (any, error) { return string(b), nil }
 
 // world is a desk before an engine with the real module.
 type world struct {
 	*Desk
 	t       testing.TB
-	servers *servers
+	servers *standin.Attempts
 	mu      sync.Mutex
 	up      time.Duration // beyond the true clock
 }
@@ -101,7 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{t: t, servers: &servers{}}
+	w := &world{t: t, servers: &standin.Attempts{}}
 	log := slog.New(slog.DiscardHandler)
 	var known engine.List
 	for i, id := range []policy.ServerID{"a", "b", "c"} {
@@ -156,7 +127,7 @@
 
 func (w *world) sent(n int) {
 	w.t.Helper()
-	if got := w.servers.count(); got != n {
+	if got := len(w.servers.Sent()); got != n {
 		w.t.Errorf("%d attempts were sent, want %d", got, n)
 	}
 }
@@ -166,10 +137,11 @@
 	book := NewMemory(1 << 20)
 	w := build(t, keep{book})
 	for _, class := range []string{"order", "pay"} {
-		if got := w.ask(class, "k", 1); got.Kind != engine.Served || got.Replayed {
-			t.Errorf("%s: %+v", class, got)
+		first := w.ask(class, "k", 1)
+		if first.Kind != engine.Served || first.Replayed {
+			t.Errorf("%s: %+v", class, first)
 		}
-		if got := w.ask(class, "k", 1); got.Kind != engine.Served || !got.Replayed || got.Reply != "reply" {
+		if got := w.ask(class, "k", 1); got.Kind != engine.Served || !got.Replayed || got.Reply != fmt.Sprint(first.Reply) {
 			t.Errorf("%s again: %+v", class, got)
 		}
 	}
@@ -197,21 +169,21 @@
 	for _, restart := range []bool{false, true} {
 		book := NewMemory(1 << 20)
 		w := build(t, keep{book})
-		w.servers.end = lost
+		w.servers.SetEnd(lost)
 		for _, class := range []string{"order", "cell", "pay"} {
 			if got := w.ask(class, "k", 1); got.Kind == engine.Served {
 				t.Errorf("%s: %+v", class, got)
 			}
 		}
 		w.sent(3)
-		first := w.servers.sent[1]
+		first := w.servers.Sent()[1]
 		if restart {
 			w.end()
 			w = build(t, keep{book})
 		} else {
-			w.servers.end = nil
+			w.servers.SetEnd(nil)
 		}
-		before := w.servers.count()
+		before := len(w.servers.Sent())
 		if got := w.ask("pay", "k", 1); got.Kind != engine.Failed || !got.MayHaveRun {
 			t.Errorf("unsafe: %+v", got)
 		}
@@ -222,13 +194,13 @@
 			}
 		}
 		w.sent(before + 2)
-		if again := w.servers.sent[before+1]; again != first {
+		if again := w.servers.Sent()[before+1]; again != first {
 			t.Errorf("sent to %s, and again to %s of another cell", first, again)
 		}
-		w.servers.end = lost
+		w.servers.SetEnd(lost)
 		w.ask("order", "late", 1)
 		w.pass(6 * time.Second)
-		before = w.servers.count()
+		before = len(w.servers.Sent())
 		if got := w.ask("order", "late", 1); got.Kind != engine.Failed || !got.MayHaveRun {
 			t.Errorf("past the window: %+v", got)
 		}
@@ -241,17 +213,13 @@
 func TestAtOnce(t *testing.T) {
 	w := build(t, NewMemory(1<<20))
 	begun, answer := make(chan struct{}, 10), make(chan struct{})
-	w.servers.end = func(n int, a *engine.Attempt, _ engine.Endpoint) engine.Ending {
-		called := make(chan struct{})
-		a.OnCancel(sync.OnceFunc(func() { close(called) }))
+	w.servers.SetEnd(func(n int, a *engine.Attempt, _ engine.Endpoint) engine.Ending {
 		begun <- struct{}{}
-		select {
-		case <-answer:
-			return engine.Ending{Status: policy.OK, Reply: "reply"}
-		case <-called:
+		if !standin.Hold(a, 0, answer) {
 			return engine.Ending{Status: policy.Canceled}
 		}
-	}
+		return engine.Ending{Status: policy.OK, Reply: "reply"}
+	})
 	start := func(class, key string) (first, second *engine.Request) {
 		first, err := w.take(class, key, 1)
 		if err != nil {
--- /dev/null
+++ b/internal/standin/memory.go
@@ -0,0 +1,100 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"quillfront/internal/engine"
+	"quillfront/policy"
+)
+
+// Attempts is an engine.Transport without a network: its attempts end as End says, in real time or in a bubble of testing/synctest.
+type Attempts struct {
+	// End returns the ending of the n-th attempt, from 1. Nil: each is served at once, with n as its reply.
+	End func(n int, a *engine.Attempt, to engine.Endpoint) engine.Ending
+
+	mu   sync.Mutex
+	sent []policy.ServerID
+}
+
+// SetEnd replaces End while attempts go on.
+func (t *Attempts) SetEnd(end func(n int, a *engine.Attempt, to engine.Endpoint) engine.Ending) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.End = end
+}
+
+// Sent returns the servers that got an attempt, in order.
+func (t *Attempts) Sent() []policy.ServerID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.sent)
+}
+
+// Do is a method of engine.Transport.
+func (t *Attempts) Do(a *engine.Attempt, to engine.Endpoint) engine.Ending {
+	t.mu.Lock()
+	t.sent = append(t.sent, to.ID)
+	n, end := len(t.sent), t.End
+	t.mu.Unlock()
+	if end == nil {
+		return engine.Ending{Status: policy.OK, Reply: n}
+	}
+	return end(n, a, to)
+}
+
+// Probe is a method of engine.Transport. There is nothing to probe.
+func (*Attempts) Probe(context.Context, engine.Endpoint) (policy.Status, *policy.Load) {
+	return policy.Moot, nil
+}
+
+// HangUp is a method of engine.Transport.
+func (*Attempts) HangUp(engine.Endpoint) {}
+
+// Hold waits until the attempt is called off, for d, or until open is closed, and reports whether it is still wanted. A d of 0 is for
+// ever.
+func Hold(a *engine.Attempt, d time.Duration, open <-chan struct{}) (wanted bool) {
+	ctx := context.Background()
+	if d > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, d)
+		defer cancel()
+	}
+	called := make(chan struct{})
+	if !a.OnCancel(sync.OnceFunc(func() { close(called) })) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+	case <-open:
+	case <-called:
+		return false
+	}
+	return a.OnCancel(nil)
+}
+
+// Once is a module that sends each request once, to one server, and knows nothing else.
+type Once struct {
+	engine.Module
+	Server policy.ServerID
+}
+
+// Members is the method of engine.Module.
+func (Once) Members(policy.Time, policy.ListKind, []policy.Server, policy.Actions) {}
+
+// Request is the method of engine.Module.
+func (o Once) Request(now policy.Time, q policy.Request, act policy.Actions) {
+	act.Send(q.ID, o.Server, q.Expires-now)
+}
+
+// Outcome is the method of engine.Module.
+func (Once) Outcome(_ policy.Time, o policy.Outcome, act policy.Actions) {
+	if !o.Closed {
+		act.Fail(o.ID)
+	}
+}
+
+// Withdrawn is the method of engine.Module.
+func (Once) Withdrawn(_ policy.Time, id policy.RequestID, act policy.Actions) { act.Cancel(id, 0) }
