--- a/internal/orders/desk.go
+++ b/internal/orders/desk.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quillfront/internal/engine"
@@ -79,13 +80,26 @@
 	class policy.Class
 	refs  int // under d.mu
 
+	waiters atomic.Int64 // how many have begun to wait for the leader
+
 	mu      sync.Mutex
 	read    bool          // entry has been looked up
 	entry   *ledger.Entry // nil: nothing is known
-	leader  *engine.Request
+	leader  *leader       // nil, or over: nobody's answer is waited for
 	waiting []*waiter
 }
 
+// leader is the request of an order that was handed to the engine.
+type leader struct {
+	over atomic.Pointer[ending] // nil: it is open
+}
+
+// ending is how a leader has ended.
+type ending struct {
+	result    engine.Result
+	withdrawn bool
+}
+
 // waiter is a request that waits for another one's answer.
 type waiter struct {
 	r    *engine.Request
@@ -167,7 +181,8 @@
 		return o.unwritable(r, err)
 	}
 	e := o.d.o.Engine
-	if o.leader != nil {
+	o.answerWaiting() // if the leader is over, and nobody has yet
+	if o.leader != nil && o.leader.over.Load() == nil {
 		if o.entry.Print != a.Print {
 			o.d.count(&o.d.stats.Mismatched)
 			return ErrMismatch
@@ -184,6 +199,8 @@
 		left := read + r.Wait - e.Now()
 		w.end = time.AfterFunc(max(left-ownEnd, 0), func() { e.Settle(r, engine.Result{Kind: engine.Failed, MayHaveRun: true}) })
 		o.waiting = append(o.waiting, w)
+		o.waiters.Add(1)
+		o.answerWaiting() // the leader may have ended before it could know of this one
 		return nil
 	}
 	return o.judge(r, a.Print, read, false)
@@ -232,9 +249,10 @@
 		o.entry = &ledger.Entry{Print: print, First: now}
 	}
 	lead := func() {
-		o.leader = r
+		l := &leader{}
+		o.leader = l
 		r.Past, r.Order = v.Past, o
-		r.Ended = func(result engine.Result, withdrawn bool) { o.over(r, result, withdrawn) }
+		r.Ended = func(result engine.Result, withdrawn bool) { o.over(l, result, withdrawn) }
 	}
 	if adopted {
 		e.Hand(r, read, lead) // if its client is still there
@@ -288,33 +306,43 @@
 	return nil
 }
 
-// over is told, under the engine's lock, that the leader has its result or was withdrawn. What waits is answered elsewhere.
-func (o *order) over(r *engine.Request, result engine.Result, withdrawn bool) {
-	o.d.work.Go(func() {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		if o.leader != r {
+// over is told, under the engine's lock, that a leader has its result or was withdrawn. Those that wait are answered elsewhere; mostly
+// there are none.
+func (o *order) over(l *leader, result engine.Result, withdrawn bool) {
+	l.over.Store(&ending{result, withdrawn})
+	if o.waiters.Load() > 0 {
+		o.d.work.Go(func() {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.answerWaiting()
+		})
+	}
+}
+
+// answerWaiting gives those that wait the answer of a leader that is over. Where it was withdrawn the first of them takes its place.
+func (o *order) answerWaiting() {
+	e := o.d.o.Engine
+	for len(o.waiting) > 0 && o.leader != nil {
+		end := o.leader.over.Load()
+		if end == nil {
 			return
 		}
-		o.leader = nil
-		e := o.d.o.Engine
-		for len(o.waiting) > 0 && o.leader == nil {
-			w := o.waiting[0]
-			o.waiting = o.waiting[1:]
-			if !w.end.Stop() {
-				continue // its own end came first
-			}
-			if !withdrawn && result.Kind != engine.Dropped {
-				result.Replayed = result.Kind == engine.Served
-				e.Settle(w.r, result)
-				continue
-			}
-			// Nobody's answer is waited for any more: the first that waits takes its place.
-			if err := o.judge(w.r, o.entry.Print, w.from, true); err != nil {
-				e.Settle(w.r, engine.Result{Kind: engine.Failed, MayHaveRun: true})
-			}
+		w := o.waiting[0]
+		o.waiting = o.waiting[1:]
+		o.waiters.Add(-1)
+		if !w.end.Stop() {
+			continue // its own end came first
 		}
-	})
+		if !end.withdrawn && end.result.Kind != engine.Dropped {
+			result := end.result
+			result.Replayed = result.Kind == engine.Served
+			e.Settle(w.r, result)
+			continue
+		}
+		if err := o.judge(w.r, o.entry.Print, w.from, true); err != nil {
+			e.Settle(w.r, engine.Result{Kind: engine.Failed, MayHaveRun: true})
+		}
+	}
 }
 
 // begin notes an intent, before the first byte of an attempt.
--- a/store/store.go
+++ b/store/store.go
@@ -81,6 +81,7 @@
 	out      File            // of the last one; nil: the next write begins a segment
 	seq      uint64          // of the latest record
 	at       int64           // of the latest record: times never run backwards
+	scratch  []byte          // room to write a record
 	pending  []byte          // written since the last sync, to write it again elsewhere should a sync fail
 	opened   time.Time
 	closed   bool
@@ -370,7 +371,8 @@
 		s.failed = err
 		return 0, err
 	}
-	b := r.appendTo(nil)
+	b := r.appendTo(s.scratch[:0])
+	s.scratch = b
 	if _, err := s.out.Write(b); err != nil {
 		s.failed = err
 		s.abandon()
@@ -403,7 +405,7 @@
 			s.abandon()
 			return nil, fmt.Errorf("store: %w", err)
 		}
-		s.durable, s.pending = s.seq, nil
+		s.durable, s.pending = s.seq, s.pending[:0]
 		s.out.Close()
 		s.out = nil
 	}
@@ -492,7 +494,7 @@
 			s.abandon()
 			return fmt.Errorf("store: %w", err)
 		}
-		s.durable, s.pending = to, slices.Clone(s.pending[n:])
+		s.durable, s.pending = to, s.pending[:copy(s.pending, s.pending[n:])]
 	}
 	return nil
 }
