--- a/architecture_test.go
+++ b/architecture_test.go
@@ -13,6 +13,7 @@
 	for dir, never := range map[string][]string{
 		"internal/httpfront": {"quillfront/internal/upstream", "quillfront/internal/discovery", "quillfront"},
 		"internal/upstream":  {"quillfront/internal/httpfront", "quillfront/internal/httpcall", "quillfront/internal/discovery"},
+		"internal/dnslist":   {"quillfront/internal/http", "quillfront/internal/upstream", "quillfront/internal/discovery"},
 		"internal/discovery": {"quillfront/internal/httpfront", "quillfront/internal/upstream"},
 		"internal/httpmsg":   {"quillfront/internal/", "net"},
 		"internal/httpcall":  {"quillfront/internal/upstream", "quillfront/internal/orders", "net", "os"},
--- /dev/null
+++ b/sources_test.go
@@ -0,0 +1,102 @@
+package quillfront
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/net/dns/dnsmessage"
+
+	"quillfront/internal/standin"
+)
+
+// TestFile: a list in a file is taken when it is replaced or written in place; one that is torn, empty, gone or wrong changes nothing.
+func TestFile(t *testing.T) {
+	_, servers := fleet(t, standin.BoxConfig{}, standin.BoxConfig{})
+	entry := func(s Server) string { return fmt.Sprintf("[[servers]]\nid = %q\naddr = %q\n", s.ID, s.Addr) }
+	path := filepath.Join(t.TempDir(), "servers.toml")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(entry(servers[0]))
+	b, _ := balancer(t, File(path, FileOptions{Every: 10 * time.Millisecond}))
+	listed := func(n int) func() bool { return func() bool { return len(b.Snapshot().Servers) == n } }
+	eventually(t, "the list is taken", listed(1))
+	both := entry(servers[0]) + entry(servers[1])
+	next := path + ".new"
+	if err := os.WriteFile(next, []byte(both), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(next, path); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the list is taken", listed(2))
+	for _, bad := range []string{
+		"", both[:len(both)-3], both + entry(servers[1]), "[[servers]]\nid = \"x\"\n", both + "[[servers]]\naddr = \"a:1\"\nstate = \"asleep\"\n",
+		both + "[other]\nkey = 1\n", strings.Repeat("# nothing\n", mostFile/10+1),
+	} {
+		write(bad)
+		time.Sleep(60 * time.Millisecond) // some looks
+		if n := len(b.Snapshot().Servers); n != 2 {
+			t.Errorf("%.40q: %d servers are listed", bad, n)
+		}
+	}
+	os.Remove(path)
+	time.Sleep(40 * time.Millisecond)
+	if got := body2(t, b.RoundTripper(), get("/read/k")); got != "GET /read/k 0" || !listed(2)() {
+		t.Errorf("without the file: %q", got)
+	}
+	write(entry(servers[1]))
+	eventually(t, "the list is taken", listed(1))
+	if resp, err := b.RoundTripper().RoundTrip(get("/read/k")); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("after it came back: %v, %v", resp, err)
+	}
+	for text, want := range map[string]int{`{"servers":[{"addr":"a:1","state":"draining"}]}`: 1, `{"servers":[]} x`: -1, `{"server":[]}`: -1, `{`: -1} {
+		if got, err := parseServers("x.JSON", []byte(text)); (err == nil) != (want >= 0) || err == nil && len(got) != want {
+			t.Errorf("%s: %v, %v", text, got, err)
+		}
+	}
+}
+
+// TestDNS: services from DNS are the servers, and what cannot be asked for is an error that names it.
+func TestDNS(t *testing.T) {
+	_, servers := fleet(t, standin.BoxConfig{}, standin.BoxConfig{})
+	d, err := standin.NewDNS()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	d.Set("here.example.", dnsmessage.TypeA, 1, &dnsmessage.AResource{A: [4]byte{127, 0, 0, 1}})
+	set := func(list ...Server) {
+		var bodies []dnsmessage.ResourceBody
+		for _, s := range list {
+			_, text, _ := net.SplitHostPort(s.Addr)
+			port, _ := strconv.Atoi(text)
+			bodies = append(bodies, &dnsmessage.SRVResource{Port: uint16(port), Target: dnsmessage.MustNewName("here.example.")})
+		}
+		d.Set("_order._tcp.example.", dnsmessage.TypeSRV, 0, bodies...)
+	}
+	set(servers[0])
+	b, _ := balancer(t, DNS("_order._tcp.example", DNSOptions{Resolvers: []string{d.Addr()}, Min: 10 * time.Millisecond, Max: 10 * time.Millisecond}))
+	if got := body2(t, b.RoundTripper(), get("/read/k")); got != "GET /read/k 0" {
+		t.Errorf("%q", got)
+	}
+	set(servers...)
+	eventually(t, "both are listed", func() bool { return len(b.Snapshot().Servers) == 2 })
+	var field *FieldError
+	for _, source := range []Source{DNS("x", DNSOptions{}), DNS("x", DNSOptions{Resolvers: []string{"x"}}), DNS("", DNSOptions{Resolvers: []string{"x:53"}}),
+		DNS("x", DNSOptions{Resolvers: []string{"x:53"}, Port: 70_000}), DNS("x", DNSOptions{Resolvers: []string{"x:53"}, Min: time.Hour})} {
+		if _, err := New(Config{Classes: testClasses, Servers: source}); !errors.As(err, &field) || field.Field != "Servers" {
+			t.Errorf("%+v: %v", source, err)
+		}
+	}
+}
