Keep an order's answer for the tenant that placed it

Cause: what tells one use of an Idempotency-Key from another was method, target and body; a tenant that used another's key for the same order would have been given the other's answer.

Change: the tenant belongs to it, so that such a request gets 422.

Measured: TestPrint.

--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -164,10 +164,11 @@
 	return r, nil
 }
 
-// Print tells what c asks for, with that body, from anything else that could be asked for under its Idempotency-Key.
+// Print tells what c asks for, with that body and for its tenant, from anything else that could be asked for under its
+// Idempotency-Key. It guards against a tenant that is given another's answer because it knows, or hits upon, the key.
 func (c *Call) Print(body []byte) (sum [sha256.Size]byte) {
 	h := sha256.New()
-	for _, part := range []string{c.Method, c.Target} {
+	for _, part := range []string{c.Method, c.Target, c.Tenant} {
 		h.Write(binary.AppendUvarint(nil, uint64(len(part))))
 		io.WriteString(h, part)
 	}
--- a/internal/httpcall/target_test.go
+++ b/internal/httpcall/target_test.go
@@ -44,3 +44,20 @@
 		}
 	}
 }
+
+// TestPrint: each part of what is asked for tells it from the others.
+func TestPrint(t *testing.T) {
+	seen := map[[32]byte]Call{}
+	for _, c := range []Call{{}, {Method: "a"}, {Target: "a"}, {Tenant: "a"}, {Method: "a", Target: "b"}, {Method: "ab"}, {Target: "ab"}, {Target: "a", Tenant: "b"}} {
+		for _, body := range []string{"", "a", "ab"} {
+			p := c.Print([]byte(body))
+			if other, ok := seen[p]; ok {
+				t.Errorf("%+v with %q is as %+v", c, body, other)
+			}
+			seen[p] = c
+			if p != c.Print([]byte(body)) {
+				t.Error("it is not the same twice")
+			}
+		}
+	}
+}
