Name the farms' paths in the examples of routes in the plural

Cause: a check of landings takes a path that begins with the singular for one of a machine's.

Change: tests and examples say /farms/{farm}; nothing else.

Measured: TestRoutesCommands, TestValues and TestPrecedence pass.

--- a/cmd/quillfront/routes_test.go
+++ b/cmd/quillfront/routes_test.go
@@ -13,7 +13,7 @@
 name = "orders"
 hosts = ["*.burdekin.example"]
 methods = ["POST"]
-path = "/farm/{farm}/order"
+path = "/farms/{farm}/order"
 class = "delivery-order"
 split = { stable = 9, canary = 1 }
 key = ["path:farm"]
@@ -47,10 +47,10 @@
 		want []string
 	}{
 		{routesFile, []string{"check"}, []string{"2 routes"}},
-		{routesFile, []string{"explain", "POST", "http://a.burdekin.example/farm/f7/order", "-H", "Idempotency-Key: k"},
+		{routesFile, []string{"explain", "POST", "http://a.burdekin.example/farms/f7/order", "-H", "Idempotency-Key: k"},
 			[]string{"orders", "*.burdekin.example", "farm is \"f7\"", "stable (90 of 100)", "canary (10 of 100)", "keyed:", `"f7"`}},
-		{routesFile, []string{"explain", "POST", "http://a.burdekin.example/farm/f7/order"}, []string{"unsafe:"}},
-		{routesFile, []string{"explain", "GET", "http://a.burdekin.example/farm/f7/order"}, []string{"rest", "takes what no other", "safe:"}},
+		{routesFile, []string{"explain", "POST", "http://a.burdekin.example/farms/f7/order"}, []string{"unsafe:"}},
+		{routesFile, []string{"explain", "GET", "http://a.burdekin.example/farms/f7/order"}, []string{"rest", "takes what no other", "safe:"}},
 		{routesFile, []string{"explain", "GET", "http://s/a/../b"}, []string{"400: the path has dot segments"}},
 		{strings.Replace(routesFile, "pool = \"stable\"", "pool = \"stable\"\nmethods = [\"GET\"]", 1), []string{"explain", "PUT", "http://s/"}, []string{"405", "GET"}},
 		{routesFile + "[[routes]]\nname = \"again\"\nclass = \"c\"\npool = \"p\"\n", []string{"check"}, []string{"error:", "\"rest\" and \"again\""}},
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -165,13 +165,13 @@
 
 // TestValues: key, tenant and effect follow from the request by the route.
 func TestValues(t *testing.T) {
-	table, err := New([]Route{route("one", Match{Path: "/farm/{farm}/{rest...}"}, func(r *Route) {
+	table, err := New([]Route{route("one", Match{Path: "/farms/{farm}/{rest...}"}, func(r *Route) {
 		r.Key, r.Tenant, r.TrustKey = []Part{{Path: "farm"}, {Query: "outlet"}, {Header: "X-Group"}}, []Part{{Header: "X-Group"}}, true
 	})})
 	if err != nil {
 		t.Fatal(err)
 	}
-	q := Request{Method: "POST", Target: "/farm/a%2Fb/x/y?outlet=7", Header: header("x-group", "g")}
+	q := Request{Method: "POST", Target: "/farms/a%2Fb/x/y?outlet=7", Header: header("x-group", "g")}
 	f, err := table.Find(&q)
 	if err != nil || f.RequestKey() != "3:a/b1:71:g" || f.RequestTenant() != "g" || f.parts["rest"] != "x/y" {
 		t.Errorf("%q, %q, %q, %v", f.RequestKey(), f.RequestTenant(), f.parts, err)
