Note an attempt's end in the entry that it began in, and no other

Cause: found on reading the change again. An order whose entry passed its retention while an attempt was still out was given a new entry, and the attempt's end was noted there: a late answer would have been kept for whatever had the key by then, and a proof that nothing ran would have cleared an attempt that may have run. A key with nothing sent for it, past its retention, also kept its old print. It takes a retention below the longest deadline, and an hour since the start, so that no test met it.

Change: an attempt carries its entry; an entry is made anew also where the print differs.

Measured: TestEndOfAnotherEntry, which fails twice with the ends noted as before; all of internal/orders and TestKilled with -race.

--- a/internal/orders/desk.go
+++ b/internal/orders/desk.go
@@ -245,7 +245,7 @@
 		d.count(&d.stats.Unwritable)
 		return settle(engine.Result{Kind: refusal(v), RetryAfter: comeBack, MayHaveRun: v.Kind == ledger.Again})
 	}
-	if v.Kind == ledger.Fresh && (o.entry == nil || len(o.entry.Attempts) > 0 || o.entry.Served) {
+	if v.Kind == ledger.Fresh && (o.entry == nil || o.entry.Print != print || len(o.entry.Attempts) > 0 || o.entry.Served) {
 		o.entry = &ledger.Entry{Print: print, First: now}
 	}
 	lead := func() {
@@ -345,27 +345,31 @@
 	}
 }
 
-// begin notes an intent, before the first byte of an attempt.
-func (o *order) begin(to engine.Endpoint) (number int, err error) {
+// begin notes an intent, before the first byte of an attempt, and returns the entry that it stands in.
+func (o *order) begin(to engine.Endpoint) (e *ledger.Entry, number int, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	number = o.entry.Begin(ledger.Attempt{Server: string(to.ID), Zone: to.Zone, Cell: to.Cell, At: o.d.o.Clock()})
+	e = o.entry
+	number = e.Begin(ledger.Attempt{Server: string(to.ID), Zone: to.Zone, Cell: to.Cell, At: o.d.o.Clock()})
 	if err := o.write(true); err != nil {
-		o.entry.NotRun(number)
-		return 0, err
+		e.NotRun(number)
+		return nil, 0, err
 	}
-	return number, nil
+	return e, number, nil
 }
 
-// end notes how an attempt has ended. What cannot be written counts as may have run after a restart, which is safe.
-func (o *order) end(number int, end engine.Ending) {
+// end notes how an attempt has ended. What cannot be written counts as may have run after a restart, which is safe. One whose entry
+// was forgotten for its age while it was out, says nothing of the order that has the key now.
+func (o *order) end(e *ledger.Entry, number int, end engine.Ending) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
+	case o.entry != e:
+		return
 	case end.Status == policy.OK:
-		o.entry.Answered(o.d.o.Codec.Encode(end.Reply))
+		e.Answered(o.d.o.Codec.Encode(end.Reply))
 	case end.Status.NotRun():
-		o.entry.NotRun(number)
+		e.NotRun(number)
 	default:
 		return // as it stands
 	}
@@ -469,11 +473,11 @@
 	if !ok {
 		return t.Transport.Do(a, to)
 	}
-	number, err := o.begin(to)
+	e, number, err := o.begin(to)
 	if err != nil {
 		return engine.Ending{Status: policy.Moot}
 	}
 	end := t.Transport.Do(a, to)
-	o.end(number, end)
+	o.end(e, number, end)
 	return end
 }
--- a/internal/orders/desk_test.go
+++ b/internal/orders/desk_test.go
@@ -311,6 +311,29 @@
 	}
 }
 
+// TestEndOfAnotherEntry: an attempt that is out while its order is forgotten for its age neither answers nor clears the order that has
+// the key by then.
+func TestEndOfAnotherEntry(t *testing.T) {
+	w := build(t, NewMemory(1<<20))
+	o := w.hold("order\x00k", classes[1])
+	defer w.let(o)
+	for _, status := range []policy.Status{policy.OK, policy.ConnectFailed} {
+		o.entry = &ledger.Entry{Print: [32]byte{1}}
+		old, number, err := o.begin(engine.Endpoint{ID: "a"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		o.entry = &ledger.Entry{Print: [32]byte{2}}
+		if _, _, err := o.begin(engine.Endpoint{ID: "b"}); err != nil {
+			t.Fatal(err)
+		}
+		o.end(old, number, engine.Ending{Status: status, Reply: "another's"})
+		if o.entry.Served || len(o.entry.Attempts) != 1 {
+			t.Errorf("%v: %+v", status, o.entry)
+		}
+	}
+}
+
 // TestMemoryIsBounded: the oldest entries make room.
 func TestMemoryIsBounded(t *testing.T) {
 	m := NewMemory(10_000)
