Give operators an address: servers out and back, drain, and a new version beside the old

Cause: a second process ended at once, as its address was taken; nobody could take a server out or drain a sidecar.

Change: internal/management serves the calls, internal/roster (no I/O) says what the list comes to with servers taken out, internal/handover shares both over an upgrade and counts who lives; the clients' socket may be inherited; descriptors and memory are halved while two processes live; the front's drain can be undone and closes only after a look. A server that is put back counts as cold until discovery tells of its new start, and what it failed at before is forgotten (policy.Members).

--- a/cmd/quillfront/main.go
+++ b/cmd/quillfront/main.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -65,9 +64,6 @@
 	}
 	// The process has one core at most: more threads that run Go code would only take turns on it.
 	runtime.GOMAXPROCS(1)
-	// Guards against being killed for memory: the rest is for stacks of the runtime, code and the kernel.
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 4 * 3)
-
 	var op config.Operator
 	if path, _ := cmd.Flags().GetString("config"); path != "" {
 		if op, err = config.LoadOperator(path); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"math"
+	"net/url"
 	"os"
+	"path/filepath"
 	"strconv"
 
 	"quillfront/internal/discovery"
@@ -19,11 +21,15 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string // address of discovery
-	Seed      uint64
-	MemoryMB  int          // the sidecar is killed over it
-	Sockets   int          // descriptors that the process may hold
-	Known     *engine.List // the list as it was last known
-	Settings  settings.Settings
+	// Management is where operators connect; empty: nowhere.
+	Management string
+	AcceptFD   int    // the clients' listening socket, inherited; 0: there is none
+	Shared     string // a directory that is this sidecar's, whichever process it runs in; empty: there is none
+	Seed       uint64
+	MemoryMB   int          // the sidecar is killed over it
+	Sockets    int          // descriptors that the process may hold
+	Known      *engine.List // the list as it was last known
+	Settings   settings.Settings
 }
 
 // The limits taken where the configuration gives none, and the least that a sidecar can work with.
@@ -34,7 +40,7 @@
 	LeastSockets  = 64
 )
 
-// Load reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY stand in for what it lacks. The
+// Load reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_MANAGEMENT stand in for what it lacks. The
 // file has precedence, as it can be replaced while the program runs and its environment cannot: after a restart the
 // environment may still name a discovery that has moved. An error names the variable or the key at fault.
 func Load(getenv func(string) string) (Config, error) {
@@ -56,12 +62,18 @@
 		return Config{}, err
 	}
 	for name, value := range map[string]*string{
-		"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery,
+		"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery, "GW_MANAGEMENT": &c.Management,
 	} {
 		if *value == "" {
 			*value = getenv(name)
 		}
 	}
+	if c.AcceptFD, err = acceptFD(getenv("GW_ACCEPT_FD")); err != nil {
+		return Config{}, err
+	}
+	if dir := getenv("TMPDIR"); dir != "" && (c.Management != "" || c.AcceptFD != 0) {
+		c.Shared = filepath.Join(dir, "quillfront-"+url.PathEscape(c.Name))
+	}
 	switch {
 	case c.Listen == "":
 		return Config{}, errors.New("listen is not set")
@@ -71,15 +83,28 @@
 	return c, nil
 }
 
+// acceptFD reads the number of an inherited descriptor.
+func acceptFD(text string) (int, error) {
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 3 {
+		return 0, fmt.Errorf("GW_ACCEPT_FD is %q, no number of an inherited descriptor", text)
+	}
+	return n, nil
+}
+
 // Parse reads the text of a configuration. Where it listens and where discovery is may be missing: that is for the host
 // to judge. An error names the key at fault.
 func Parse(text []byte) (Config, error) {
 	var file struct {
-		Name      string `json:"name"`
-		Listen    string `json:"listen"`
-		Discovery string `json:"discovery"`
-		Seed      string `json:"seed"`
-		Limits    struct {
+		Name       string `json:"name"`
+		Listen     string `json:"listen"`
+		Discovery  string `json:"discovery"`
+		Management string `json:"management"`
+		Seed       string `json:"seed"`
+		Limits     struct {
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  int     `json:"sockets"`
 		} `json:"limits"`
@@ -90,7 +115,7 @@
 		return Config{}, err
 	}
 	c := Config{
-		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Management: file.Management,
 		MemoryMB: usualMemoryMB, Sockets: usualSockets,
 	}
 	if file.Limits.MemoryMB != 0 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,7 +10,9 @@
 	"net"
 	"os"
 	"reflect"
+	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -18,6 +20,7 @@
 	"quillfront/internal/config"
 	"quillfront/internal/discovery"
 	"quillfront/internal/engine"
+	"quillfront/internal/handover"
 	"quillfront/internal/httpfront"
 	"quillfront/internal/httpmsg"
 	"quillfront/internal/orders"
@@ -46,8 +49,16 @@
 	sockets   *sockets.Budget
 	room      *semaphore.Weighted // for bodies
 
+	dir     *handover.Dir // nil: there is nobody to hand over to
+	serving atomic.Bool   // clients are accepted
+	began   time.Time     // when this process did
+	took    bool          // it takes over from an older one
+	older   atomic.Int32  // the other processes of this sidecar that live
+	newer   atomic.Int32
+
 	mu        sync.Mutex
-	discovery string // the address that is asked now
+	discovery string         // the address that is asked now
+	state     handover.State // what operators have asked for, as it is applied
 }
 
 // New makes a sidecar. It opens no socket.
@@ -62,13 +73,14 @@
 func newSidecar(cfg config.Config, op config.Operator, b engine.Module, log *slog.Logger) (*Sidecar, error) {
 	var book orders.Book
 	var retention func(string) time.Duration
+	var err error
 	if op.Store != nil {
-		var err error
 		if book, retention, err = op.Store.Open(); err != nil {
 			return nil, fmt.Errorf("[store]: %w", err)
 		}
 	}
-	s := &Sidecar{cfg: cfg, log: log, sockets: sockets.New(cfg.Sockets), room: httpfront.NewRoom(cfg.MemoryMB), discovery: cfg.Discovery}
+	s := &Sidecar{cfg: cfg, log: log, sockets: sockets.New(cfg.Sockets), room: httpfront.NewRoom(cfg.MemoryMB), discovery: cfg.Discovery, began: time.Now()}
+	setMemory(cfg.MemoryMB, 1)
 	s.transport = upstream.New(cfg.Settings, s.sockets, log)
 	var transport engine.Transport = s.transport
 	if book != nil {
@@ -83,37 +95,89 @@
 	}
 	s.server = httpfront.New(s.engine, s.desk, s.room, s.sockets, log)
 	s.sockets.OnShortage(s.transport.MakeRoom, s.server.Evict)
+	if cfg.Shared != "" {
+		if s.dir, err = handover.Open(cfg.Shared); err != nil {
+			s.close()
+			return nil, err
+		}
+		s.apply(s.dir.State())
+		s.beside(s.dir.Others())
+		if s.took = s.older.Load() > 0; s.took {
+			s.engine.Ask() // what the older one was told counts as told to this one
+		}
+	}
 	return s, nil
 }
 
 // Run serves until ctx ends, and then drains. It returns once all that was taken is answered.
 func (s *Sidecar) Run(ctx context.Context) error {
-	ln, err := net.Listen("tcp", s.cfg.Listen)
+	ln, err := s.listen()
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	return s.Serve(ctx, ln.(*net.TCPListener))
+	return s.Serve(ctx, ln)
+}
+
+// listen opens the clients' address, or takes over the socket that the platform holds open for it.
+func (s *Sidecar) listen() (*net.TCPListener, error) {
+	if s.cfg.AcceptFD == 0 {
+		ln, err := net.Listen("tcp", s.cfg.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return ln.(*net.TCPListener), nil
+	}
+	f := os.NewFile(uintptr(s.cfg.AcceptFD), "accept")
+	ln, err := net.FileListener(f)
+	f.Close() // the listener has a descriptor of its own
+	if err != nil {
+		return nil, fmt.Errorf("GW_ACCEPT_FD: %d is no listening socket: %w", s.cfg.AcceptFD, err)
+	}
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		ln.Close()
+		return nil, fmt.Errorf("GW_ACCEPT_FD: %d listens at %s, which is not TCP", s.cfg.AcceptFD, ln.Addr())
+	}
+	return tcp, nil
 }
 
 // Serve is Run on a listener that is open already, and closes it.
 func (s *Sidecar) Serve(ctx context.Context, ln *net.TCPListener) error {
 	defer s.close()
+	beside, stop := context.WithCancel(context.Background()) // ends with Serve, not with ctx: operators may ask while it drains
+	var helpers sync.WaitGroup
+	defer helpers.Wait()
+	defer stop()
+	if err := s.operate(beside, &helpers); err != nil {
+		ln.Close()
+		return err
+	}
 	backlog := &backlog{TCPListener: ln}
 	served := make(chan error, 1)
 	go func() { served <- s.server.Serve(backlog) }()
+	s.serving.Store(true)
 	s.log.Info("ready", "name", s.cfg.Name, "listen", ln.Addr().String(), "load", s.engine.String())
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
+	s.serving.Store(false)
 	s.log.Info("draining", "load", s.engine.String())
 	// Answers close their connections from here on, and idle ones are closed: a request that crosses that comes
-	// again on a new connection, which is still accepted.
+	// again on a new connection, which is still accepted, here or by the process that takes over.
 	s.server.Drain()
-	end, cancel := context.WithTimeout(context.Background(), drainWindow+s.engine.Longest()+drainSlack)
+	window := drainWindow
+	if s.succeeded() {
+		window = 0 // what waits in the socket's queue is the other process's
+	}
+	end, cancel := context.WithTimeout(context.Background(), window+s.engine.Longest()+drainSlack)
 	defer cancel()
-	backlog.drain(time.Now().Add(drainWindow))
+	if window == 0 {
+		ln.Close()
+	} else {
+		backlog.drain(time.Now().Add(window))
+	}
 	select {
 	case <-served: // the backlog is empty
 	case <-end.Done():
@@ -145,6 +209,9 @@
 func (s *Sidecar) close() {
 	s.engine.Close()
 	s.transport.Close()
+	if s.dir != nil {
+		s.dir.Close()
+	}
 	if s.desk != nil {
 		if err := s.desk.Close(); err != nil {
 			s.log.Error("closing the store", "err", err)
@@ -186,3 +253,9 @@
 	}
 	return c, err
 }
+
+// setMemory guards against being killed for memory: the rest is for stacks of the runtime, code and the kernel. parts is how
+// many processes share the limit.
+func setMemory(limitMB, parts int) {
+	debug.SetMemoryLimit(int64(limitMB) << 20 / 4 * 3 / int64(parts))
+}
--- /dev/null
+++ b/internal/daemon/operate.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"quillfront/internal/handover"
+	"quillfront/internal/management"
+	"quillfront/policy"
+)
+
+// takeoverWait is how long a process that takes over may wait for the list of servers before it says that it is ready: the
+// platform gives it 6 s in all.
+const takeoverWait = 3 * time.Second
+
+// operate opens the operators' address and follows the other processes of the sidecar, until ctx ends.
+func (s *Sidecar) operate(ctx context.Context, helpers *sync.WaitGroup) error {
+	if s.dir != nil {
+		helpers.Go(func() { s.dir.Follow(ctx, s.apply, func(o handover.Others) { s.beside(o, nil) }) })
+	}
+	if s.cfg.Management == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", s.cfg.Management)
+	if err != nil {
+		return fmt.Errorf("management: %w", err)
+	}
+	server := management.New(operated{s}, s.log)
+	s.log.Info("operators", "management", ln.Addr().String())
+	helpers.Go(func() {
+		if err := server.Serve(ctx, ln); err != nil {
+			s.log.Error("management", "err", err)
+		}
+	})
+	return nil
+}
+
+// apply makes state what operators have asked for.
+func (s *Sidecar) apply(state handover.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dir != nil {
+		state = s.dir.State() // of two calls at once, the second applies what both have changed
+	}
+	if !state.Absences.Equal(&s.state.Absences) {
+		s.engine.SetAbsences(state.Absences.Clone())
+	}
+	if state.Evacuated != s.state.Evacuated {
+		if state.Evacuated {
+			s.server.Evacuate()
+		} else {
+			s.server.Rejoin()
+		}
+	}
+	s.state = state
+}
+
+// update changes what operators have asked for, here and in the other process.
+func (s *Sidecar) update(f func(*handover.State) error) error {
+	var state handover.State
+	if s.dir != nil {
+		var err error
+		if state, err = s.dir.Update(f); err != nil {
+			return err
+		}
+	} else {
+		s.mu.Lock()
+		state = s.state.Clone()
+		s.mu.Unlock()
+		if err := f(&state); err != nil {
+			return err
+		}
+	}
+	s.apply(state)
+	return nil
+}
+
+// beside fits this process to the others of the sidecar: memory and descriptors are counted together.
+func (s *Sidecar) beside(o handover.Others, err error) {
+	if err != nil {
+		s.log.Error("handover", "err", err)
+		return
+	}
+	parts := 1 + o.Older + o.Newer
+	s.older.Store(int32(o.Older))
+	s.newer.Store(int32(o.Newer))
+	s.sockets.Share(1 / float64(parts))
+	setMemory(s.cfg.MemoryMB, parts)
+	if parts > 1 {
+		s.log.Info("not alone", "older", o.Older, "newer", o.Newer)
+	}
+}
+
+// succeeded reports whether another process has taken over the clients' socket.
+func (s *Sidecar) succeeded() bool {
+	if s.dir == nil || s.cfg.AcceptFD == 0 {
+		return false
+	}
+	o, err := s.dir.Others()
+	return err == nil && o.Newer > 0
+}
+
+// operated is what operators may do to a Sidecar.
+type operated struct{ *Sidecar }
+
+// Ready is a method of management.Operated. A process that takes over is ready once it has the list, so that it knows of
+// every drain that the process before was told of, or after takeoverWait.
+func (o operated) Ready() error {
+	s := o.Sidecar
+	s.mu.Lock()
+	away := s.state.Evacuated
+	s.mu.Unlock()
+	if !s.serving.Load() || away {
+		return management.ErrNotReady
+	}
+	if s.took && !s.engine.Told() && time.Since(s.began) < takeoverWait {
+		return fmt.Errorf("%w: the list of servers has not come yet", management.ErrNotReady)
+	}
+	return nil
+}
+
+// Exclude is a method of management.Operated.
+func (o operated) Exclude(id policy.ServerID) error {
+	return o.update(func(st *handover.State) error {
+		return st.Absences.Exclude(id, o.engine.Listed, time.Now().UnixMilli())
+	})
+}
+
+// Include is a method of management.Operated.
+func (o operated) Include(id policy.ServerID) error {
+	return o.update(func(st *handover.State) error {
+		return st.Absences.Include(id, o.engine.Listed, time.Now().UnixMilli())
+	})
+}
+
+// Evacuate is a method of management.Operated.
+func (o operated) Evacuate() error { return o.evacuated(true) }
+
+// Rejoin is a method of management.Operated.
+func (o operated) Rejoin() error { return o.evacuated(false) }
+
+func (o operated) evacuated(is bool) error {
+	return o.update(func(st *handover.State) error {
+		st.Evacuated = is
+		return nil
+	})
+}
+
+// Metrics is a method of management.Operated.
+func (o operated) Metrics() http.Handler { return nil }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"quillfront/internal/roster"
 	"quillfront/policy"
 )
 
@@ -100,6 +101,9 @@
 	open      int                           // requests that have not ended
 	lastID    policy.RequestID
 	endpoints map[policy.ServerID]Endpoint // of the servers that are listed
+	listed    map[policy.ServerID]Server   // the list as it was told
+	told      bool                         // by the source
+	absences  roster.Absences              // what operators have taken out of it
 	source    Source
 	seq       int64              // of the last list of that source
 	stopWatch context.CancelFunc // nil while there is no watch
@@ -121,7 +125,7 @@
 		log: o.Log, ctx: ctx, stop: stop, origin: origin, originMs: origin.UnixMilli(), to: o.Transport,
 		classes: map[string]policy.Class{}, module: o.Module, requests: map[policy.RequestID]*Request{},
 		names: map[string]*Request{}, endpoints: map[policy.ServerID]Endpoint{}, source: o.Source, seq: UnknownSeq,
-		drained: make(chan struct{}),
+		drained: make(chan struct{}), listed: map[policy.ServerID]Server{},
 	}
 	for _, c := range o.Config.Classes {
 		e.classes[c.Name] = c
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -82,15 +82,36 @@
 	})
 }
 
-// members hands a message about the server list to the module.
+// Ask asks the source for the whole list at once, rather than when the module would.
+func (e *Engine) Ask() {
+	e.event(func(now policy.Time) {
+		e.seq = UnknownSeq
+		e.module.Moved(now, e)
+	})
+}
+
+// Told reports whether the source has told the list, beyond what was known at the start.
+func (e *Engine) Told() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.told
+}
+
+// members notes a message about the server list, and hands it to the module as it counts.
 func (e *Engine) members(now policy.Time, kind policy.ListKind, l List) {
 	e.seq = l.Seq
+	e.told = kind != policy.ListCached
+	e.tell(now, kind, e.note(kind, l.Servers))
+}
+
+// tell hands entries of the list to the module.
+func (e *Engine) tell(now policy.Time, kind policy.ListKind, entries []Server) {
 	before := maps.Clone(e.endpoints)
 	if kind != policy.ListDelta {
 		clear(e.endpoints)
 	}
-	servers := make([]policy.Server, len(l.Servers))
-	for i, s := range l.Servers {
+	servers := make([]policy.Server, len(entries))
+	for i, s := range entries {
 		servers[i] = policy.Server{
 			ID: s.ID, State: s.State, Zone: s.Zone, Cell: s.Cell, Weight: s.Weight, Started: e.started(s.BornMs),
 		}
--- /dev/null
+++ b/internal/engine/roster.go
@@ -0,0 +1,60 @@
+package engine
+
+import (
+	"maps"
+	"slices"
+
+	"quillfront/internal/roster"
+	"quillfront/policy"
+)
+
+// Listed returns what the list says of a server, whether operators have it out or not.
+func (e *Engine) Listed(id policy.ServerID) (roster.Entry, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.listed[id]
+	return roster.Entry{ID: s.ID, State: s.State, BornMs: s.BornMs}, ok
+}
+
+// SetAbsences makes a what operators have taken out and put back. The module is told of each server that counts as
+// something else from now on. a must not be changed afterwards.
+func (e *Engine) SetAbsences(a roster.Absences) {
+	e.event(func(now policy.Time) {
+		before := e.absences
+		e.absences = a
+		var changed []Server
+		for _, id := range slices.Sorted(maps.Keys(e.listed)) {
+			s := e.listed[id]
+			if is := counts(a, s); is != counts(before, s) {
+				changed = append(changed, is)
+			}
+		}
+		if len(changed) > 0 {
+			e.tell(now, policy.ListDelta, changed)
+		}
+	})
+}
+
+// counts is s as it counts under a.
+func counts(a roster.Absences, s Server) Server {
+	c := a.Counts(roster.Entry{ID: s.ID, State: s.State, BornMs: s.BornMs})
+	s.State, s.BornMs = c.State, c.BornMs
+	return s
+}
+
+// note notes a message about the list, and returns its entries as they count.
+func (e *Engine) note(kind policy.ListKind, l []Server) []Server {
+	if kind != policy.ListDelta {
+		clear(e.listed)
+	}
+	entries := make([]Server, len(l))
+	for i, s := range l {
+		if s.State == policy.Gone {
+			delete(e.listed, s.ID)
+		} else {
+			e.listed[s.ID] = s
+		}
+		entries[i] = counts(e.absences, s)
+	}
+	return entries
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -56,6 +56,10 @@
 	// lingerTime is how long what a client still sends is read and dropped after its request was turned away, so that
 	// the answer reaches it before a reset does.
 	lingerTime = 300 * time.Millisecond
+	// sweepEvery is how often a server that drains looks for quiet connections, and freshTime how long a new one may be quiet
+	// then: it was opened to be used at once.
+	sweepEvery = 20 * time.Millisecond
+	freshTime  = time.Second
 	// acceptRetry is the pause after a failed accept.
 	acceptRetry = 5 * time.Millisecond
 	// mostScratch bounds the room for an answer that a connection keeps for the next one.
@@ -79,8 +83,11 @@
 
 	mu       sync.Mutex
 	conns    map[*clientConn]struct{} // bounded by sockets
-	draining bool
-	open     sync.WaitGroup // their goroutines
+	ending   bool                     // no way back: see Drain
+	away     bool                     // until Rejoin: see Evacuate
+	over     bool                     // all are closed for good
+	sweeping bool                     // quiet connections are being closed
+	open     sync.WaitGroup           // their goroutines
 }
 
 // New returns a server that takes its descriptors from b, and holds bodies in room. Requests pass through desk, if there is one.
@@ -164,7 +171,7 @@
 func (s *Server) enter(c *clientConn, p phase) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.conns[c]; !ok || s.draining && p == idle {
+	if _, ok := s.conns[c]; !ok {
 		return false
 	}
 	c.phase, c.since = p, time.Now()
@@ -230,16 +237,54 @@
 }
 
 // Drain makes every answer the last one of its connection, and closes those on which none is owed: a request that
-// crosses this comes again on a new connection, which is still accepted.
+// crosses this comes again on a new connection, which is still accepted. It is not undone by Rejoin.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
+	s.ending = true
+	s.sweep()
+}
+
+// Evacuate does what Drain does, and has the sidecar say that it is not ready, until Rejoin. New connections are still
+// served: whoever sends clients here learns of it only after a while.
+func (s *Server) Evacuate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.sweep()
+}
+
+// Rejoin ends what Evacuate began.
+func (s *Server) Rejoin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = false
+}
+
+// draining reports whether connections are not kept. Called with the lock held.
+func (s *Server) draining() bool { return s.ending || s.away }
+
+// sweep closes quiet connections now and as they become quiet, as long as the server drains. Each is closed after a look
+// that nothing has come, never because of its phase alone: an answer that was written just before did not say that its
+// connection ends, and the next request may be there. Called with the lock held.
+func (s *Server) sweep() {
 	for c := range s.conns {
-		if c.phase == idle && !c.heard.Load() && c.peek.NothingCame() {
+		if (c.phase == idle || c.phase == fresh && time.Since(c.since) >= freshTime) && !c.heard.Load() && c.peek.NothingCame() {
 			s.drop(c)
 		}
 	}
+	if s.sweeping {
+		return
+	}
+	s.sweeping = true
+	time.AfterFunc(sweepEvery, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.sweeping = false
+		if s.draining() && !s.over {
+			s.sweep()
+		}
+	})
 }
 
 // Wait waits until all connections have ended, or ctx has, and reports whether they have.
@@ -257,10 +302,11 @@
 	}
 }
 
-// CloseAll closes all connections.
+// CloseAll closes all connections, for good.
 func (s *Server) CloseAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.over = true
 	for c := range s.conns {
 		s.drop(c)
 	}
@@ -288,7 +334,7 @@
 			return
 		}
 		if r == nil { // asked whether the sidecar is ready
-			if !s.write(c, keep, engine.Result{Reply: ready}) || !s.enter(c, idle) {
+			if !s.write(c, keep, s.readiness()) || !s.enter(c, idle) {
 				return
 			}
 			continue
@@ -314,6 +360,16 @@
 // ready is the answer to a probe of readiness.
 var ready = &httpmsg.Answer{}
 
+// readiness is the answer to a probe of it.
+func (s *Server) readiness() engine.Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return engine.Result{Kind: engine.Refused}
+	}
+	return engine.Result{Reply: ready}
+}
+
 // persistence is what a request says of its connection.
 type persistence int
 
@@ -552,7 +608,7 @@
 // write writes the final answer, and reports whether the connection can go on.
 func (s *Server) write(c *clientConn, keep persistence, result engine.Result) bool {
 	s.mu.Lock()
-	if s.draining || s.crowded() {
+	if s.draining() || s.crowded() {
 		keep = last
 	}
 	s.mu.Unlock()
--- a/internal/sockets/budget.go
+++ b/internal/sockets/budget.go
@@ -34,6 +34,10 @@
 	waiting atomic.Int32
 	servers func() bool // closes an idle connection to a server and reports whether there was one
 	guests  func() bool // the same of a client
+
+	sharing sync.Mutex         // held while the share changes
+	stop    context.CancelFunc // ends the change that is under way
+	lent    [2]atomic.Int32    // places that are not this process's at present: of all, and of clients
 }
 
 // New returns the budget of a process that may hold limit descriptors, which must be over Spare.
@@ -109,8 +113,60 @@
 	return s.waiting.Load() > 0 && len(s.all) > int(scarceShare*float64(cap(s.all))) || len(s.all) == cap(s.all)
 }
 
+// Share leaves this process a part of its places, above 0 and at most 1, as long as another one of the same sidecar lives. What
+// it has in use beyond that it gives up as it becomes free, idle connections first; meanwhile nothing new is opened.
+func (s *Budget) Share(part float64) {
+	s.sharing.Lock()
+	defer s.sharing.Unlock()
+	if s.stop != nil {
+		s.stop()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	for i, places := range []chan struct{}{s.all, s.clients} {
+		want := int32(float64(cap(places)) * (1 - part))
+		for s.lent[i].Load() > want {
+			s.lent[i].Add(-1)
+			<-places
+		}
+		for s.lent[i].Load() < want { // what is free goes at once
+			select {
+			case places <- struct{}{}:
+				s.lent[i].Add(1)
+				continue
+			default:
+			}
+			break
+		}
+		if s.lent[i].Load() < want {
+			go s.lend(ctx, i, places, want)
+		}
+	}
+}
+
+// lend gives up places as they become free, until want are lent or ctx ends.
+func (s *Budget) lend(ctx context.Context, i int, places chan struct{}, want int32) {
+	evict := []func() bool{s.servers, s.guests}
+	if i == 1 {
+		evict = evict[1:]
+	}
+	for s.lent[i].Load() < want && s.take(ctx, places, evict...) == nil {
+		s.sharing.Lock()
+		if ctx.Err() != nil { // the share has changed meanwhile
+			<-places
+		} else {
+			s.lent[i].Add(1)
+		}
+		s.sharing.Unlock()
+	}
+}
+
 // InUse returns how many descriptors are taken, in all and by clients.
-func (s *Budget) InUse() (all, clients int) { return len(s.all), len(s.clients) }
+func (s *Budget) InUse() (all, clients int) {
+	return len(s.all) - int(s.lent[0].Load()), len(s.clients) - int(s.lent[1].Load())
+}
 
 // Limits returns how many may be taken, in all and by clients.
-func (s *Budget) Limits() (all, clients int) { return cap(s.all), cap(s.clients) }
+func (s *Budget) Limits() (all, clients int) {
+	return cap(s.all) - int(s.lent[0].Load()), cap(s.clients) - int(s.lent[1].Load())
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -118,6 +118,9 @@
 		if e.Started != s.Started {
 			*s = server{slowness: 1, out: s.out} // a restarted process owes nothing to its past
 		}
+		if e.State == Ready && s.State != Ready { // what became of it while it was to be left alone says nothing of it now
+			s.fails, s.ejected = 0, 0
+		}
 		s.Server = e
 	}
 	// Guards against a fleet that keeps being replaced: its records would grow without end.
