Take over settings on SIGHUP, whole or not at all, and let clients change over

Cause: a reload took over discovery's address only; clients that named a new class were answered 404, and a file that lacked a key was read with zeros in its place.

Change: internal/retune (no I/O) says whether a file is whole and what holds while clients change over; policy.Reconfigure and engine.Reconfigure take it over, open requests keep their class and number of attempts; the transport follows.

TestUpgrade, TestRetune and the rest pass with -race.

--- a/cmd/quillfront/main.go
+++ b/cmd/quillfront/main.go
@@ -76,10 +76,12 @@
 	}
 	go func() {
 		for range hangUp {
-			if cfg, err := config.Load(os.Getenv); err != nil {
+			cfg, err := config.Reload(os.Getenv, s.Config())
+			if err == nil {
+				err = s.Reload(cfg)
+			}
+			if err != nil {
 				s.ReloadFailed(err)
-			} else {
-				s.Reload(cfg)
 			}
 		}
 	}()
--- a/cmd/quillfront/main_test.go
+++ b/cmd/quillfront/main_test.go
@@ -30,8 +30,9 @@
 // process is a running sidecar.
 type process struct {
 	*exec.Cmd
-	addr string
-	log  chan string // lines after the first
+	addr       string
+	management string      // empty: none
+	log        chan string // lines after the first
 }
 
 func command(t testing.TB, config string, args ...string) *exec.Cmd {
@@ -45,11 +46,19 @@
 	return cmd
 }
 
-var listens = regexp.MustCompile(`msg=ready .*listen=(\S+)`)
+var (
+	listens = regexp.MustCompile(`msg=ready .*listen=(\S+)`)
+	manages = regexp.MustCompile(`msg=operators management=(\S+)`)
+)
 
 func start(t testing.TB, config string, args ...string) *process {
 	t.Helper()
-	s := &process{Cmd: command(t, config, args...), log: make(chan string, 1000)}
+	return run(t, command(t, config, args...))
+}
+
+func run(t testing.TB, cmd *exec.Cmd) *process {
+	t.Helper()
+	s := &process{Cmd: cmd, log: make(chan string, 1000)}
 	log, err := s.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -65,6 +74,8 @@
 		}
 		if m := listens.FindStringSubmatch(lines.Text()); m != nil {
 			s.addr = m[1]
+		} else if m := manages.FindStringSubmatch(lines.Text()); m != nil {
+			s.management = m[1]
 		}
 	}
 	go func() {
--- /dev/null
+++ b/cmd/quillfront/upgrade_test.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// operator calls at the operators' address of s and returns the status.
+func (s *process) operator(t *testing.T, method, path string) int {
+	t.Helper()
+	q, err := http.NewRequest(method, "http://"+s.management+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// keep asks on one connection after the other until stop, each for as long as it lasts, and counts answers, and requests that
+// ended without one. No request is sent twice.
+func keep(addr string, stop <-chan struct{}, served, crossed *atomic.Int64) error {
+	for {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return err
+		}
+		r := bufio.NewReader(c)
+		for first := true; ; first = false {
+			select {
+			case <-stop:
+				return c.Close()
+			default:
+			}
+			c.SetDeadline(time.Now().Add(20 * time.Second))
+			fmt.Fprintf(c, "GET /read/k HTTP/1.1\r\nHost: s\r\nX-Request-ID: k%d\r\n\r\n", lastID.Add(1))
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				if first {
+					return fmt.Errorf("a new connection: %w", err)
+				}
+				crossed.Add(1)
+				break
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+				return fmt.Errorf("answer %d, %w", resp.StatusCode, err)
+			}
+			served.Add(1)
+			c.SetDeadline(time.Now().Add(time.Millisecond)) // a pause, in which the end of the connection shows
+			if _, err := r.Peek(1); resp.Close || !errors.Is(err, os.ErrDeadlineExceeded) {
+				break
+			}
+		}
+		c.Close()
+	}
+}
+
+// TestUpgrade replaces the program twice under load: every request is answered, what operators have out stays out, and the old
+// process ends by itself.
+func TestUpgrade(t *testing.T) {
+	var mu sync.Mutex
+	hits := map[string]int{}
+	server := func(name string) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			mu.Lock()
+			hits[name]++
+			mu.Unlock()
+			io.WriteString(w, "ok")
+		}))
+		t.Cleanup(srv.Close)
+		return srv.Listener.Addr().String()
+	}
+	count := func(name string) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return hits[name]
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	f, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	tmp := t.TempDir()
+	text := strings.Replace(configText(ln.Addr().String(), server("a")), `{"host":"a"`,
+		fmt.Sprintf(`{"host":"b","dial":%q,"health":"active"},{"host":"a"`, server("b")), 1)
+	begin := func() *process {
+		cmd := command(t, text)
+		cmd.ExtraFiles = append(cmd.ExtraFiles, f)
+		cmd.Env = append(cmd.Env, "GW_ACCEPT_FD=3", "GW_MANAGEMENT=127.0.0.1:0", "TMPDIR="+tmp)
+		s := run(t, cmd)
+		for end := time.Now().Add(20 * time.Second); s.operator(t, "GET", "/api/ready") != http.StatusOK; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("it does not get ready")
+			}
+		}
+		return s
+	}
+	s := begin()
+	stop := make(chan struct{})
+	var served, crossed atomic.Int64
+	failed := make(chan error, 8)
+	for range cap(failed) {
+		go func() { failed <- keep(ln.Addr().String(), stop, &served, &crossed) }()
+	}
+	answered := func(n int64) {
+		t.Helper()
+		for end, from := time.Now().Add(20*time.Second), served.Load(); served.Load() < from+n; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("nothing is answered")
+			}
+		}
+	}
+	answered(200)
+	if count("a") == 0 || count("b") == 0 {
+		t.Errorf("hits %v before", hits)
+	}
+	if got := s.operator(t, "POST", "/api/exclude/c"); got != http.StatusNotFound {
+		t.Errorf("an unknown server: %d", got)
+	}
+	if got := s.operator(t, "POST", "/api/exclude/a"); got != http.StatusOK {
+		t.Fatalf("exclude: %d", got)
+	}
+	for range 2 {
+		answered(50) // what was under way to it is over
+		before := count("a")
+		newer := begin()
+		answered(200)
+		if err := s.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Wait(); err != nil {
+			t.Errorf("the old process: %v", err)
+		}
+		answered(200)
+		if got := count("a"); got != before {
+			t.Errorf("%d requests to a server that is out", got-before)
+		}
+		s = newer
+	}
+	if got := s.operator(t, "POST", "/api/include/a"); got != http.StatusOK {
+		t.Errorf("include: %d", got)
+	}
+	before := count("a")
+	answered(200)
+	if count("a") == before {
+		t.Error("a server that is back is not used")
+	}
+	close(stop)
+	for range cap(failed) {
+		err = errors.Join(err, <-failed)
+	}
+	if err != nil || crossed.Load() > 2 {
+		t.Errorf("%v; %d of %d requests were turned back unheard", err, crossed.Load(), served.Load())
+	}
+}
+
+// TestBadDescriptor: a descriptor that is none, or no listening socket, ends the start with a line that names it.
+func TestBadDescriptor(t *testing.T) {
+	for _, fd := range []string{"x", "1", "77"} {
+		cmd := command(t, configText("127.0.0.1:0", "127.0.0.1:1"))
+		cmd.Env = append(cmd.Env, "GW_ACCEPT_FD="+fd)
+		out, err := cmd.CombinedOutput()
+		if err == nil || !strings.Contains(string(out), "GW_ACCEPT_FD") {
+			t.Errorf("%s: %v, %s", fd, err, out)
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,7 @@
 
 	"quillfront/internal/discovery"
 	"quillfront/internal/engine"
+	"quillfront/internal/retune"
 	"quillfront/internal/settings"
 )
 
@@ -30,6 +31,7 @@
 	Sockets    int          // descriptors that the process may hold
 	Known      *engine.List // the list as it was last known
 	Settings   settings.Settings
+	Text       []byte // what it was read from
 }
 
 // The limits taken where the configuration gives none, and the least that a sidecar can work with.
@@ -40,6 +42,30 @@
 	LeastSockets  = 64
 )
 
+// Reload is Load for a process that runs by running: it also turns away a file that lacks a key which that one has, but for
+// what only a start needs.
+func Reload(getenv func(string) string, running Config) (Config, error) {
+	c, err := Load(getenv)
+	if err != nil {
+		return Config{}, err
+	}
+	var was map[string]json.RawMessage
+	if err := json.Unmarshal(running.Text, &was); err != nil {
+		return Config{}, err
+	}
+	for _, key := range []string{"seed", "known", "peers", "peers_all", "peer_listen"} {
+		delete(was, key)
+	}
+	before, err := json.Marshal(was)
+	if err != nil {
+		return Config{}, err
+	}
+	if err := retune.Whole(before, c.Text); err != nil {
+		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	return c, nil
+}
+
 // Load reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_MANAGEMENT stand in for what it lacks. The
 // file has precedence, as it can be replaced while the program runs and its environment cannot: after a restart the
 // environment may still name a discovery that has moved. An error names the variable or the key at fault.
@@ -115,7 +141,7 @@
 		return Config{}, err
 	}
 	c := Config{
-		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Management: file.Management,
+		Text: text, Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Management: file.Management,
 		MemoryMB: usualMemoryMB, Sockets: usualSockets,
 	}
 	if file.Limits.MemoryMB != 0 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"quillfront/internal/httpfront"
 	"quillfront/internal/httpmsg"
 	"quillfront/internal/orders"
+	"quillfront/internal/retune"
 	"quillfront/internal/sockets"
 	"quillfront/internal/upstream"
 	"quillfront/policy"
@@ -34,13 +35,14 @@
 	drainWindow = 500 * time.Millisecond
 	// backlogQuiet is how long no connection may come before the backlog counts as empty.
 	backlogQuiet = 50 * time.Millisecond
+	// changeTime is how long clients may go by the settings before a change: 1.2 s, and 2 s in which a request may come.
+	changeTime = 3200 * time.Millisecond
 	// drainSlack is what the last answers may take beyond the longest deadline.
 	drainSlack = 150 * time.Millisecond
 )
 
 // Sidecar is one real sidecar.
 type Sidecar struct {
-	cfg       config.Config
 	log       *slog.Logger
 	engine    *engine.Engine
 	transport *upstream.Transport
@@ -56,9 +58,11 @@
 	older   atomic.Int32  // the other processes of this sidecar that live
 	newer   atomic.Int32
 
-	mu        sync.Mutex
-	discovery string         // the address that is asked now
-	state     handover.State // what operators have asked for, as it is applied
+	mu      sync.Mutex
+	cfg     config.Config  // as it is applied; what takes a restart, as it was at the start
+	state   handover.State // what operators have asked for, as it is applied
+	settle  *time.Timer    // ends a change of the settings; nil before the first
+	reloads struct{ applied, rejected int }
 }
 
 // New makes a sidecar. It opens no socket.
@@ -79,7 +83,7 @@
 			return nil, fmt.Errorf("[store]: %w", err)
 		}
 	}
-	s := &Sidecar{cfg: cfg, log: log, sockets: sockets.New(cfg.Sockets), room: httpfront.NewRoom(cfg.MemoryMB), discovery: cfg.Discovery, began: time.Now()}
+	s := &Sidecar{cfg: cfg, log: log, sockets: sockets.New(cfg.Sockets), room: httpfront.NewRoom(cfg.MemoryMB), began: time.Now()}
 	setMemory(cfg.MemoryMB, 1)
 	s.transport = upstream.New(cfg.Settings, s.sockets, log)
 	var transport engine.Transport = s.transport
@@ -187,26 +191,59 @@
 	return nil
 }
 
-// Reload takes over what of cfg can change while the sidecar runs: the address of discovery. The rest is for the next
-// start, which the log tells.
-func (s *Sidecar) Reload(cfg config.Config) {
+// Config returns what the sidecar runs by.
+func (s *Sidecar) Config() config.Config {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cfg
+}
+
+// Reload takes over what of cfg can change while the sidecar runs: the address of discovery, and the settings. The rest is for
+// the next start, which the log tells. For changeTime clients may still go by the settings before. With an error the old
+// configuration stays, whole.
+func (s *Sidecar) Reload(cfg config.Config) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	old := s.cfg
 	if cfg.Name != old.Name || cfg.Listen != old.Listen || cfg.MemoryMB != old.MemoryMB || cfg.Sockets != old.Sockets ||
-		!reflect.DeepEqual(cfg.Settings, old.Settings) {
-		s.log.Warn("reload: name, listen, limits or settings differ, which takes a restart")
+		cfg.Management != old.Management {
+		s.log.Warn("reload: name, listen, management or limits differ, which takes a restart")
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	moved := cfg.Discovery != s.discovery
+	retuned := !reflect.DeepEqual(cfg.Settings, old.Settings)
+	if retuned {
+		change := retune.Between(old.Settings.Config, cfg.Settings.Config)
+		if err := s.engine.Reconfigure(change.Now); err != nil {
+			return err
+		}
+		s.transport.Reconfigure(cfg.Settings)
+		if s.settle != nil {
+			s.settle.Stop()
+		}
+		if change.Moved {
+			s.settle = time.AfterFunc(changeTime, func() {
+				if err := s.engine.Reconfigure(change.Then); err != nil {
+					s.log.Error("reload", "err", err)
+				}
+			})
+		}
+	}
+	moved := cfg.Discovery != old.Discovery
 	if moved {
-		s.discovery = cfg.Discovery
 		s.engine.Move(discovery.Client{Addr: cfg.Discovery})
 	}
-	s.log.Info("reloaded", "discovery", cfg.Discovery, "moved", moved)
+	s.cfg.Settings, s.cfg.Discovery, s.cfg.Text = cfg.Settings, cfg.Discovery, cfg.Text
+	s.reloads.applied++
+	s.log.Info("reloaded", "discovery", cfg.Discovery, "moved", moved, "retuned", retuned)
+	return nil
 }
 
 // close ends all that New has started.
 func (s *Sidecar) close() {
+	s.mu.Lock()
+	if s.settle != nil {
+		s.settle.Stop()
+	}
+	s.mu.Unlock()
 	s.engine.Close()
 	s.transport.Close()
 	if s.dir != nil {
@@ -221,6 +258,9 @@
 
 // ReloadFailed tells that a new configuration cannot be used, and that the old one stays.
 func (s *Sidecar) ReloadFailed(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reloads.rejected++
 	s.log.Error("reload: the old configuration stays", "err", err)
 }
 
--- /dev/null
+++ b/internal/daemon/operate_test.go
@@ -0,0 +1,191 @@
+package daemon
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"quillfront/internal/config"
+	"quillfront/internal/management"
+	"quillfront/internal/roster"
+	"quillfront/policy"
+)
+
+// TestExclude: a server that operators have out counts as draining whatever discovery lists meanwhile, and as one that has
+// just started once it is back.
+func TestExclude(t *testing.T) {
+	m := newScript()
+	w := start(t, m, "127.0.0.1:1", "127.0.0.1:1")
+	o := operated{w.Sidecar}
+	if err := o.Exclude("b"); !errors.Is(err, roster.ErrUnknown) {
+		t.Errorf("an unknown server: %v", err)
+	}
+	told := func(want policy.ServerState) policy.Server {
+		t.Helper()
+		e := next(t, "list", m.members)
+		if len(e.servers) != 1 || e.servers[0].ID != "a" || e.servers[0].State != want {
+			t.Fatalf("the module is told %+v, want state %v", e.servers, want)
+		}
+		return e.servers[0]
+	}
+	for range 2 {
+		if err := o.Exclude("a"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	told(policy.Draining)
+	d := newDiscovery(t)
+	cfg := w.Config()
+	cfg.Discovery = d.addr
+	if err := w.Reload(cfg); err != nil {
+		t.Fatal(err)
+	}
+	watch := next(t, "watch", d.watches)
+	watch.head()
+	watch.line(`{"seq":50,"whole":true,"hosts":[{"host":"a","dial":"127.0.0.1:1","health":"active"}]}`)
+	told(policy.Draining)
+	if err := o.Include("a"); err != nil {
+		t.Fatal(err)
+	}
+	if s := told(policy.Ready); s.Started == 0 {
+		t.Error("it does not count as started anew")
+	}
+	watch.line(`{"seq":51,"whole":false,"hosts":[{"host":"a","dial":"127.0.0.1:1","health":"active"}]}`)
+	if s := told(policy.Ready); s.Started == 0 {
+		t.Error("a list that runs behind makes it warm")
+	}
+	if len(m.members) > 0 {
+		t.Errorf("the module is told more: %+v", next(t, "list", m.members))
+	}
+}
+
+// TestEvacuate: a drained sidecar says that it is not ready, ends each connection with its answer and closes those that are
+// quiet, goes on serving, and is as before once the drain has ended.
+func TestEvacuate(t *testing.T) {
+	addr := peer(t, say(okAnswer))
+	w := start(t, newScript(), addr, "127.0.0.1:1")
+	o := operated{w.Sidecar}
+	eventually(t, "ready", func() bool { return o.Ready() == nil })
+	const probe = "GET /healthz HTTP/1.1\nHost: s\n\n"
+	quiet, busy := w.connect(t), w.connect(t)
+	for _, c := range []*client{quiet, busy} {
+		c.write(plainGet)
+		if resp, _ := c.read(t); resp.Close {
+			t.Fatal("the connection is not kept")
+		}
+	}
+	busy.write("GET /read/k HTTP/1.1\nHost: s\n") // a request that has come in part
+	eventually(t, "part of a request is read", func() bool { return w.server.Stats().Quiet == 1 })
+	if err := o.Evacuate(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := quiet.r.ReadByte(); err != io.EOF {
+		t.Errorf("a quiet connection: %v", err)
+	}
+	busy.write("X-Request-ID: 1\n\n")
+	if resp, _ := busy.read(t); resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("the request that had begun: %d, close %v", resp.StatusCode, resp.Close)
+	}
+	if resp, _ := w.ask(t, probe); resp.StatusCode != http.StatusServiceUnavailable || !errors.Is(o.Ready(), management.ErrNotReady) {
+		t.Errorf("/healthz is %d, ready is %v", resp.StatusCode, o.Ready())
+	}
+	if resp, _ := w.ask(t, plainGet); resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("a new connection: %d, close %v", resp.StatusCode, resp.Close)
+	}
+	silent := w.connect(t)
+	if _, err := silent.r.ReadByte(); err != io.EOF {
+		t.Errorf("a connection on which nothing comes: %v", err)
+	}
+	if err := o.Rejoin(); err != nil {
+		t.Fatal(err)
+	}
+	if resp, _ := w.ask(t, probe); resp.StatusCode != http.StatusOK || resp.Close || o.Ready() != nil {
+		t.Errorf("after the drain: %d, close %v, ready is %v", resp.StatusCode, resp.Close, o.Ready())
+	}
+}
+
+// TestSharedByTwo: what one process of a sidecar is told to do the other does too, and both share the descriptors until one
+// ends.
+func TestSharedByTwo(t *testing.T) {
+	shared := t.TempDir() + "/shared"
+	share := func(c *config.Config) { c.Shared = shared }
+	older := start(t, newScript(), "127.0.0.1:1", "127.0.0.1:1", share)
+	alone := older.places()
+	newer := start(t, newScript(), "127.0.0.1:1", "127.0.0.1:1", share)
+	eventually(t, "both have half", func() bool { return older.places() == (alone+1)/2 && newer.places() == (alone+1)/2 })
+	if err := (operated{older.Sidecar}).Exclude("a"); err != nil {
+		t.Fatal(err)
+	}
+	if err := (operated{newer.Sidecar}).Evacuate(); err != nil {
+		t.Fatal(err)
+	}
+	out := func(w *world) bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		_, ok := w.state.Absences.Out["a"]
+		return ok && w.state.Evacuated
+	}
+	eventually(t, "both do what either was told", func() bool { return out(older) && out(newer) })
+	older.term()
+	next(t, "end", older.over)
+	eventually(t, "the other has all", func() bool { return newer.places() == alone })
+	again := start(t, newScript(), "127.0.0.1:1", "127.0.0.1:1", share)
+	if !out(again) {
+		t.Error("a third process knows nothing of it")
+	}
+}
+
+// TestRetune: new settings hold for what comes after them, clients may go by the old ones for a while, open requests keep
+// theirs, and settings that cannot be used change nothing.
+func TestRetune(t *testing.T) {
+	open := make(chan struct{})
+	addr := peer(t, answering(func(q *http.Request, c net.Conn) {
+		if q.Header.Get("Idempotency-Key") == "slow" {
+			<-open
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}))
+	w := start(t, nil, addr, "127.0.0.1:1")
+	const keyed = "POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nIdempotency-Key: %\nContent-Length: 0\n\n"
+	status := func(text string) int {
+		resp, _ := w.ask(t, text)
+		return resp.StatusCode
+	}
+	slow := w.connect(t)
+	slow.write(strings.ReplaceAll(keyed, "%", "slow"))
+	eventually(t, "it is open", func() bool { return w.engine.Snapshot().Open == 1 })
+	cfg := w.Config()
+	next, err := loadText(t, strings.NewReplacer(
+		`"Name":"order","Effect":"idempotency_key"`, `"Name":"order","Effect":"read_like"`,
+		`"Name":"pay"`, `"Name":"settle"`, `"SendCap":3`, `"SendCap":2`).Replace(configText(addr, "127.0.0.1:1")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := next
+	bad.Settings.Config.MaxAttempts = 0
+	if err := w.Reload(bad); err == nil || w.Config().Settings.Config.MaxAttempts != cfg.Settings.Config.MaxAttempts {
+		t.Errorf("no attempts: %v", err)
+	}
+	const get, pay, settle = "GET /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\n\n", "POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: 0\n\n",
+		"POST /settle/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nContent-Length: 0\n\n"
+	if got := [...]int{status(get), status(settle), status(pay)}; got != [...]int{405, 404, 200} {
+		t.Errorf("before: %v", got)
+	}
+	if err := w.Reload(next); err != nil {
+		t.Fatal(err)
+	}
+	if got := [...]int{status(get), status(settle), status(pay), status(strings.ReplaceAll(keyed, "%", "x"))}; got != [...]int{200, 200, 200, 200} {
+		t.Errorf("while clients change over: %v", got)
+	}
+	eventually(t, "the old rules have ended", func() bool { return status(pay) == 404 })
+	if got := [...]int{status(get), status(settle), status(strings.ReplaceAll(keyed, "%", "x"))}; got != [...]int{200, 200, 405} {
+		t.Errorf("after: %v", got)
+	}
+	close(open)
+	if resp, body := slow.read(t); resp.StatusCode != http.StatusOK || body != "ok" {
+		t.Errorf("the request that was open: %d %q", resp.StatusCode, body)
+	}
+}
--- a/internal/daemon/world_test.go
+++ b/internal/daemon/world_test.go
@@ -77,6 +77,8 @@
 
 func (s *script) Moved(_ policy.Time, act policy.Actions) { act.Watch(true) }
 
+func (s *script) Reconfigure(policy.Config) error { return nil }
+
 func (s *script) Timer(_ policy.Time, token string, _ policy.Actions) { s.timers <- token }
 
 // next waits for something to come from c.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quillfront/internal/roster"
@@ -38,6 +39,7 @@
 	Probed(policy.Time, policy.ProbeResult, policy.Actions)
 	Withdrawn(policy.Time, policy.RequestID, policy.Actions)
 	Timer(policy.Time, string, policy.Actions)
+	Reconfigure(policy.Config) error
 }
 
 // Endpoint is where a server is reached, and which one it is: an address may pass from one to another, and a server that
@@ -90,8 +92,7 @@
 	origin   time.Time      // of the module's clock
 	originMs int64          // the same instant in Unix milliseconds, read once: see started
 	to       Transport
-	classes  map[string]policy.Class
-	longest  time.Duration
+	rules    atomic.Pointer[rules]
 
 	// All that is below is touched under mu only.
 	mu        sync.Mutex
@@ -123,17 +124,11 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Engine{
 		log: o.Log, ctx: ctx, stop: stop, origin: origin, originMs: origin.UnixMilli(), to: o.Transport,
-		classes: map[string]policy.Class{}, module: o.Module, requests: map[policy.RequestID]*Request{},
+		module: o.Module, requests: map[policy.RequestID]*Request{},
 		names: map[string]*Request{}, endpoints: map[policy.ServerID]Endpoint{}, source: o.Source, seq: UnknownSeq,
 		drained: make(chan struct{}), listed: map[policy.ServerID]Server{},
 	}
-	for _, c := range o.Config.Classes {
-		e.classes[c.Name] = c
-		e.longest = max(e.longest, c.Deadline)
-	}
-	if e.longest == 0 {
-		e.longest = mostWait
-	}
+	e.rules.Store(newRules(o.Config))
 	e.alarm = time.AfterFunc(longAgo, e.ring)
 	e.alarm.Stop()
 	if o.Known != nil {
@@ -142,15 +137,6 @@
 	return e
 }
 
-// Longest is the longest time that a request may wait: the longest deadline of the classes.
-func (e *Engine) Longest() time.Duration { return e.longest }
-
-// Class returns the class of requests of that name.
-func (e *Engine) Class(name string) (c policy.Class, known bool) {
-	c, known = e.classes[name]
-	return c, known
-}
-
 // Now reads the module's clock. Only event may do so for an event's time: read outside the lock, it could run backwards
 // from one event to the next.
 func (e *Engine) Now() policy.Time { return time.Since(e.origin) }
@@ -232,7 +218,7 @@
 
 // admit notes a request as open.
 func (e *Engine) admit(r *Request) error {
-	if _, known := e.classes[r.Class]; !known {
+	if !e.rules.Load().known(r.Class) {
 		return fmt.Errorf("%w: %q", ErrUnknownClass, r.Class)
 	}
 	switch {
--- /dev/null
+++ b/internal/engine/rules.go
@@ -0,0 +1,68 @@
+package engine
+
+import (
+	"strings"
+	"time"
+
+	"quillfront/internal/retune"
+	"quillfront/policy"
+)
+
+// rules are the classes that requests may be of. They are replaced whole.
+type rules struct {
+	classes map[string][]policy.Class // by the name that clients give: as it is now, and perhaps as it was before
+	longest time.Duration
+}
+
+func newRules(cfg policy.Config) *rules {
+	r := &rules{classes: map[string][]policy.Class{}}
+	for _, c := range cfg.Classes {
+		name, before := strings.CutSuffix(c.Name, retune.Before)
+		if before {
+			r.classes[name] = append(r.classes[name], c)
+		} else {
+			r.classes[name] = append([]policy.Class{c}, r.classes[name]...)
+		}
+		r.longest = max(r.longest, c.Deadline)
+	}
+	if r.longest == 0 {
+		r.longest = mostWait
+	}
+	return r
+}
+
+// known reports whether requests may be of the class of that name, which is the module's.
+func (r *rules) known(name string) bool {
+	public, _ := strings.CutSuffix(name, retune.Before)
+	for _, c := range r.classes[public] {
+		if c.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Longest is the longest time that a request may wait: the longest deadline of the classes.
+func (e *Engine) Longest() time.Duration { return e.rules.Load().longest }
+
+// Class returns the class of requests of that name.
+func (e *Engine) Class(name string) (c policy.Class, known bool) {
+	if all := e.Classes(name); len(all) > 0 {
+		return all[0], true
+	}
+	return policy.Class{}, false
+}
+
+// Classes returns the class of requests of that name, and behind it the one that it was before a change of its rules, as
+// long as clients may still go by those. It is empty if there is none. A request's Class is the Name of one of them.
+func (e *Engine) Classes(name string) []policy.Class { return e.rules.Load().classes[name] }
+
+// Reconfigure makes cfg the configuration of the module and of what comes from now on. With an error nothing has changed.
+func (e *Engine) Reconfigure(cfg policy.Config) (err error) {
+	e.event(func(policy.Time) {
+		if err = e.module.Reconfigure(cfg); err == nil {
+			e.rules.Store(newRules(cfg))
+		}
+	})
+	return err
+}
--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -137,21 +137,20 @@
 	if i := strings.LastIndexByte(path, '/'); i >= 0 {
 		r.Key = path[i+1:]
 	}
-	class, known := e.Class(r.Class)
-	if !known {
+	classes := e.Classes(r.Class)
+	if len(classes) == 0 {
 		return nil, Rejection{http.StatusNotFound, "no such class of requests"}
 	}
-	safe := class.Effect == policy.Safe
-	if (c.Method == http.MethodGet) != safe || !safe && c.Method != http.MethodPost {
-		return nil, Rejection{http.StatusMethodNotAllowed, "the method is not that of the class"}
-	}
-	if safe && c.Length != 0 {
-		return nil, bad("a request of this class has no body")
-	}
-	if class.Effect == policy.Keyed && c.IdempotencyKey == "" {
-		// Servers could not tell a repeat, so that it would run twice.
-		return nil, bad("no Idempotency-Key")
+	class := classes[0]
+	if err := c.fits(class); err != nil {
+		// Of a class whose rules have just changed, clients may still ask by the old ones.
+		i := slices.IndexFunc(classes, func(k policy.Class) bool { return c.fits(k) == nil })
+		if i < 0 {
+			return nil, err
+		}
+		class = classes[i]
 	}
+	r.Class = class.Name
 	r.Wait = class.Deadline
 	if c.Timeout != "" {
 		ms, err := strconv.ParseUint(c.Timeout, 10, 64)
@@ -164,6 +163,21 @@
 	return r, nil
 }
 
+// fits returns why c cannot be a request of that class.
+func (c *Call) fits(class policy.Class) error {
+	safe := class.Effect == policy.Safe
+	switch {
+	case (c.Method == http.MethodGet) != safe || !safe && c.Method != http.MethodPost:
+		return Rejection{http.StatusMethodNotAllowed, "the method is not that of the class"}
+	case safe && c.Length != 0:
+		return bad("a request of this class has no body")
+	case class.Effect == policy.Keyed && c.IdempotencyKey == "":
+		// Servers could not tell a repeat, so that it would run twice.
+		return bad("no Idempotency-Key")
+	}
+	return nil
+}
+
 // Print tells what c asks for, with that body and for its tenant, from anything else that could be asked for under its
 // Idempotency-Key. It guards against a tenant that is given another's answer because it knows, or hits upon, the key.
 func (c *Call) Print(body []byte) (sum [sha256.Size]byte) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quillfront/internal/engine"
@@ -36,8 +37,8 @@
 // pool holds the connections to upstreams. They carry one request at a time.
 type pool struct {
 	sockets     *sockets.Budget
-	dialTimeout time.Duration
-	idleFor     time.Duration // how long a connection is kept idle
+	dialTimeout atomic.Int64 // a time.Duration, as idleFor is
+	idleFor     atomic.Int64 // how long a connection is kept idle
 
 	mu     sync.Mutex
 	idle   map[engine.Endpoint][]*conn // the last one used comes last
@@ -98,7 +99,7 @@
 		p.idle[to] = list[:len(list)-1] // an empty one goes with closeIdle or hangUp: upstreams come and go for ever
 		p.mu.Unlock()
 		c.setUntil(deadline)
-		if time.Since(c.since) < p.idleFor && c.quiet() {
+		if time.Since(c.since) < time.Duration(p.idleFor.Load()) && c.quiet() {
 			return c
 		}
 		c.Close()
@@ -116,7 +117,7 @@
 
 // keep makes c idle.
 func (p *pool) keep(c *conn) {
-	if p.idleFor <= 0 || c.r.Buffered() > 0 || p.sockets.Scarce() {
+	if p.idleFor.Load() <= 0 || c.r.Buffered() > 0 || p.sockets.Scarce() {
 		c.Close()
 		return
 	}
@@ -176,24 +177,22 @@
 
 // sweep closes idle connections in time until ctx ends.
 func (p *pool) sweep(ctx context.Context) {
-	if p.idleFor <= 0 {
-		return
-	}
-	tick := time.NewTicker(max(p.idleFor/4, 10*time.Millisecond))
-	defer tick.Stop()
 	for {
+		d := time.Duration(p.idleFor.Load())
+		again := time.NewTimer(min(max(d/4, 10*time.Millisecond), time.Second))
 		select {
 		case <-ctx.Done():
+			again.Stop()
 			return
-		case <-tick.C:
-			p.closeIdle(p.idleFor, 1<<30)
+		case <-again.C:
+			p.closeIdle(max(d, 0), 1<<30)
 		}
 	}
 }
 
 // dial opens a connection.
 func (p *pool) dial(ctx context.Context, to engine.Endpoint, deadline time.Time) (*conn, error) {
-	ctx, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(p.dialTimeout)))
+	ctx, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(time.Duration(p.dialTimeout.Load()))))
 	defer cancel()
 	release, err := p.sockets.Acquire(ctx)
 	if err != nil {
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quillfront/internal/engine"
@@ -30,28 +31,37 @@
 
 // Transport implements engine.Transport over HTTP/1.1. Its requests' payloads are *httpmsg.Message, its replies *httpmsg.Answer.
 type Transport struct {
-	pool   pool
+	pool  pool
+	load  atomic.Pointer[loadForm]
+	log   *slog.Logger
+	stop  context.CancelFunc
+	swept sync.WaitGroup
+}
+
+// loadForm is how servers tell their load.
+type loadForm struct {
 	fields []string // names of the figures in a load report
 	inline bool     // answers carry reports
-	log    *slog.Logger
-	stop   context.CancelFunc
-	swept  sync.WaitGroup
 }
 
 // New returns a transport that takes its descriptors from b, and runs until Close.
 func New(s settings.Settings, b *sockets.Budget, log *slog.Logger) *Transport {
 	ctx, stop := context.WithCancel(context.Background())
 	t := &Transport{
-		pool: pool{
-			sockets: b, dialTimeout: s.Config.DialTimeout, idleFor: time.Duration(float64(s.Config.ConnIdle) * idleShare),
-			idle: map[engine.Endpoint][]*conn{},
-		},
-		fields: s.Fields, inline: s.Config.InlineReports, log: log, stop: stop,
+		pool: pool{sockets: b, idle: map[engine.Endpoint][]*conn{}}, log: log, stop: stop,
 	}
+	t.Reconfigure(s)
 	t.swept.Go(func() { t.pool.sweep(ctx) })
 	return t
 }
 
+// Reconfigure makes s what holds for all that begins from now on.
+func (t *Transport) Reconfigure(s settings.Settings) {
+	t.load.Store(&loadForm{s.Fields, s.Config.InlineReports})
+	t.pool.dialTimeout.Store(int64(s.Config.DialTimeout))
+	t.pool.idleFor.Store(int64(float64(s.Config.ConnIdle) * idleShare))
+}
+
 // Close closes the idle connections, and keeps none from now on. Attempts that are out go on to their ends.
 func (t *Transport) Close() {
 	t.stop()
@@ -113,10 +123,11 @@
 	} else if end.Status = policy.AppError; code/100 == 4 {
 		end.Status = policy.Rejected
 	}
+	load := t.load.Load()
 	for _, f := range c.head.Fields {
 		switch {
-		case t.inline && f.Is("X-Server-Load"):
-			end.Load = parseLoad(string(f.Value), t.fields)
+		case load.inline && f.Is("X-Server-Load"):
+			end.Load = parseLoad(string(f.Value), load.fields)
 		case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
 			f.Is("X-Not-Processed") && string(f.Value) == "1":
 			end.Status = policy.Full
@@ -216,7 +227,7 @@
 	}
 	switch code {
 	case http.StatusOK:
-		return policy.OK, parseLoad(string(body[:min(len(body), mostReport)]), t.fields)
+		return policy.OK, parseLoad(string(body[:min(len(body), mostReport)]), t.load.Load().fields)
 	case http.StatusServiceUnavailable:
 		return policy.Full, nil
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,14 +82,37 @@
 		classes: map[string]*class{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
 		threshold: math.Inf(1), credit: probeSample, busy: 1, mostSet: usualReadySet, gap: float64(time.Second),
 	}
+	b.setClasses(cfg)
+	return b, nil
+}
+
+// setClasses makes cfg's classes those that requests may be of. What was learnt of a class stays with its name.
+func (b *Balancer) setClasses(cfg Config) {
+	before := b.classes
+	b.cfg, b.classes, b.topWorth, b.markLife = cfg, map[string]*class{}, 0, 0
 	for _, c := range cfg.Classes {
-		b.classes[c.Name] = &class{Class: c}
+		k := &class{}
+		if old := before[c.Name]; old != nil {
+			*k = *old
+		}
+		k.Class = c
+		b.classes[c.Name] = k
 		b.topWorth = max(b.topWorth, c.Worth/c.Aim.Seconds())
 		if b.markLife == 0 || c.Aim < b.markLife {
 			b.markLife = c.Aim
 		}
 	}
-	return b, nil
+}
+
+// Reconfigure makes cfg what b goes by. Open requests keep their class and their number of attempts. With an error, which
+// New would give too, nothing has changed.
+func (b *Balancer) Reconfigure(cfg Config) error {
+	if err := cfg.validate(); err != nil {
+		return err
+	}
+	b.setClasses(cfg)
+	b.rebuild()
+	return nil
 }
 
 // Members takes a message about the server list.
@@ -210,7 +233,7 @@
 		left := q.Expires - now
 		c = &class{Class: Class{Name: q.Class, Effect: Unsafe, Aim: left, Deadline: left}}
 	}
-	r := &request{Request: q, class: c}
+	r := &request{Request: q, class: c, most: b.cfg.MaxAttempts}
 	for _, p := range q.Past {
 		r.past = append(r.past, attempt{zone: p.Zone, cell: p.Cell, sent: now - p.Age})
 	}
@@ -582,7 +605,7 @@
 
 // maySend is the one judge of whether the rules allow an attempt of r at s.
 func (b *Balancer) maySend(now Time, r *request, s *server) bool {
-	if r.ended || r.stream || s.State != Ready || now >= r.Expires || len(r.attempts) >= b.cfg.MaxAttempts ||
+	if r.ended || r.stream || s.State != Ready || now >= r.Expires || len(r.attempts) >= r.most ||
 		r.out > 0 && !b.cfg.MayDuplicate {
 		return false
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -156,6 +156,7 @@
 type request struct {
 	Request
 	class    *class
+	most     int           // attempts that it may have
 	limit    time.Duration // an expected delay over it means refusal
 	began    Time          // when the client first asked, as far as can be told
 	useful   Time          // an answer after this has lost worth
