--- a/http.go
+++ b/http.go
@@ -24,8 +24,9 @@
 // of the two, and the error always the context's.
 const ownEnd = 20 * time.Millisecond
 
-// do carries out one request whose answer is wanted until ctx ends. read returns its body, at most once, and may be nil.
-func (b *Balancer) do(ctx context.Context, call *httpcall.Call, header http.Header, read func(limit int64) ([]byte, error)) (*httpmsg.Answer, error) {
+// do carries out one request whose answer is wanted until ctx ends. body is nil if it has none. wake makes a Read of it that is
+// under way return, or is nil if that is left to the caller, which body then may outlast.
+func (b *Balancer) do(ctx context.Context, call *httpcall.Call, header http.Header, body io.Reader, wake func()) (*httpmsg.Answer, error) {
 	if !b.places.TryAcquire(1) {
 		return nil, &RefusedError{}
 	}
@@ -41,11 +42,16 @@
 	m.Lines = httpmsg.Field{Name: []byte("X-Request-ID"), Value: []byte(call.ID)}.Append(nil)
 	m.Lines = httpmsg.AppendHeader(m.Lines, header, ownHeader)
 	r.Payload = m
-	release, err := b.readBody(ctx, call, m, read)
+	release, more, err := b.readBody(ctx, call, m, body)
 	if err != nil {
 		return nil, err
 	}
-	r.Release = release
+	r.Release, r.Upload = release, more != nil
+	var up *upload
+	if more != nil {
+		up = send(m, more, call.Length)
+		defer up.end(wake)
+	}
 	until, bounded := ctx.Deadline()
 	if bounded { // no attempt outlasts who waits for it by more than that
 		r.Wait = min(r.Wait, max(time.Until(until), 0)+ownEnd)
@@ -62,6 +68,20 @@
 		}
 		return nil, err
 	}
+	if up != nil {
+		select {
+		case <-m.Rest.Done():
+			if err := m.Rest.Broken(); err != nil && b.engine.Withdraw(r) {
+				return nil, err
+			}
+		case result := <-r.Result():
+			if err := m.Rest.Broken(); err != nil && result.Kind != engine.Served {
+				return nil, err
+			}
+			return b.result(result)
+		case <-ctx.Done():
+		}
+	}
 	select {
 	case result := <-r.Result():
 		if result.Kind != engine.Served && bounded && !time.Now().Before(until) { // its timer is about to fire
@@ -94,7 +114,7 @@
 	case engine.Served:
 		if a, ok := r.Reply.(*httpmsg.Answer); ok {
 			if r.Replayed {
-				a = &httpmsg.Answer{Lines: append([]byte(httpmsg.ReplayedLine), a.Lines...), Body: a.Body}
+				a = &httpmsg.Answer{Lines: append([]byte(httpmsg.ReplayedLine), a.Lines...), Body: a.Body} // kept ones are whole
 			}
 			return a, nil
 		}
@@ -124,21 +144,21 @@
 	return strings.EqualFold(name, "Host") || strings.EqualFold(name, "X-Timeout-Ms") || strings.EqualFold(name, "X-Request-ID")
 }
 
-// readBody reads the body into m once there is room for it. release gives the room back.
-func (b *Balancer) readBody(ctx context.Context, call *httpcall.Call, m *httpmsg.Message, read func(int64) ([]byte, error)) (release func(), err error) {
-	n := call.Length
-	if n < 0 {
-		n = httpmsg.MaxBody // its length shows at its end
+// readBody reads the body into m once there is room for it, or a part of it where it is long: more is then the rest. release
+// gives the room back.
+func (b *Balancer) readBody(ctx context.Context, call *httpcall.Call, m *httpmsg.Message, body io.Reader) (release func(), more io.Reader, err error) {
+	if call.Length > httpmsg.MaxBody {
+		return nil, nil, errTooLong
 	}
-	tooLong := &RequestError{http.StatusRequestEntityTooLarge, httpmsg.ErrBodyTooLong.Error()}
-	if n > httpmsg.MaxBody {
-		return nil, tooLong
+	if call.Length == 0 || body == nil {
+		return func() {}, nil, nil
 	}
-	if n == 0 || read == nil {
-		return func() {}, nil
+	n := call.Length
+	if n < 0 || n > httpmsg.MaxWhole {
+		n = httpmsg.MaxWhole
 	}
 	if err := b.room.Acquire(ctx, n); err != nil {
-		return nil, context.Cause(ctx)
+		return nil, nil, context.Cause(ctx)
 	}
 	taken := false
 	defer func() { // also where a body's Read panics
@@ -146,30 +166,103 @@
 			b.room.Release(n)
 		}
 	}()
-	if m.Body, err = read(n); err != nil {
-		return nil, err
-	}
-	if int64(len(m.Body)) > n {
-		return nil, tooLong
-	}
-	if call.Length >= 0 && int64(len(m.Body)) < call.Length {
-		return nil, &RequestError{http.StatusBadRequest, fmt.Sprintf("the body has %d bytes, and %d were announced", len(m.Body), call.Length)}
+	known := call.Length >= 0
+	if known {
+		m.Body = make([]byte, n, n+1)
+		if got, err := io.ReadFull(body, m.Body); errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil, nil, short(int64(got), call.Length)
+		} else if err != nil {
+			return nil, nil, err
+		}
+	} else if m.Body, err = io.ReadAll(io.LimitReader(body, n)); err != nil {
+		return nil, nil, err
+	}
+	rest := &bounded{r: body, size: int64(len(m.Body)), length: call.Length}
+	if known && call.Length > n {
+		more = rest
+	} else if int64(len(m.Body)) == n { // whether there is more shows only behind it
+		var next [1]byte
+		switch got, err := io.ReadFull(rest, next[:]); {
+		case got > 0:
+			more = io.MultiReader(bytes.NewReader(next[:]), rest)
+		case err != io.EOF:
+			return nil, nil, err
+		}
 	}
 	taken = true
-	return func() { b.room.Release(n) }, nil
+	return func() { b.room.Release(n) }, more, nil
+}
+
+// errTooLong is the answer to a body that is longer than any may be.
+var errTooLong = &RequestError{http.StatusRequestEntityTooLarge, httpmsg.ErrBodyTooLong.Error()}
+
+func short(has, announced int64) error {
+	return &RequestError{http.StatusBadRequest, fmt.Sprintf("the body has %d bytes, and %d were announced", has, announced)}
+}
+
+// bounded reads on a body of which size bytes have been read, and holds it to its length, or to the longest that any may have.
+type bounded struct {
+	r      io.Reader
+	size   int64
+	length int64 // negative: not told
 }
 
-// readAll reads a body of at most limit bytes, and one more if there is one.
-func readAll(body io.Reader, known int64, limit int64) ([]byte, error) {
-	if known >= 0 { // exactly as long as was said, or one more to tell that it is not
-		buf := make([]byte, known+1)
-		n, err := io.ReadFull(body, buf)
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && int64(n) <= known {
-			err = nil
+// Read is the method of io.Reader.
+func (l *bounded) Read(p []byte) (int, error) {
+	n, err := l.r.Read(p)
+	l.size += int64(n)
+	switch {
+	case l.length >= 0 && l.size > l.length || l.size > httpmsg.MaxBody:
+		return 0, errTooLong
+	case err == io.EOF && l.size < l.length:
+		return n, short(l.size, l.length)
+	}
+	return n, err
+}
+
+// upload passes the rest of a body on. The caller's reader is read in a goroutine of its own, never in one of the engine's:
+// it may panic, or block for ever.
+type upload struct {
+	pipe     *io.PipeWriter
+	done     chan struct{} // closed once the reader is read no more
+	err      error         // before done is closed: what broke it
+	panicked any           // the same
+}
+
+func send(m *httpmsg.Message, body io.Reader, length int64) *upload {
+	r, w := io.Pipe()
+	m.Rest, m.Length = httpmsg.NewUpload(r), length
+	u := &upload{pipe: w, done: make(chan struct{})}
+	go func() {
+		defer close(u.done)
+		defer func() {
+			if u.panicked = recover(); u.panicked != nil {
+				u.err = io.ErrUnexpectedEOF
+			}
+			w.CloseWithError(u.err)
+		}()
+		if _, u.err = io.Copy(w, body); u.err == io.ErrClosedPipe { // what came was not wanted
+			u.err = nil
 		}
-		return buf[:n], err
+	}()
+	return u
+}
+
+// end ends what is still under way, and panics if the body did.
+func (u *upload) end(wake func()) {
+	u.pipe.CloseWithError(io.ErrClosedPipe)
+	select {
+	case <-u.done:
+	default:
+		if wake == nil {
+			return
+		}
+		wake()
+		<-u.done
+	}
+	if u.panicked != nil {
+		panic(u.panicked)
 	}
-	return io.ReadAll(io.LimitReader(body, limit+1))
 }
 
 // RoundTripper returns an http.RoundTripper that sends requests through b. The host in a request's URL is not looked up:
@@ -202,21 +295,46 @@
 	if call.ID == "" {
 		call.ID = b.newID()
 	}
-	var read func(int64) ([]byte, error)
-	if call.Length != 0 {
-		read = func(limit int64) ([]byte, error) { return readAll(q.Body, call.Length, limit) }
-	}
-	a, err := b.do(q.Context(), &call, q.Header, read)
+	a, err := b.do(q.Context(), &call, q.Header, q.Body, nil)
 	if err != nil {
 		return nil, err
 	}
 	return &http.Response{
 		Status: "200 OK", StatusCode: http.StatusOK, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: httpmsg.ParseHeader(a.Lines), Body: io.NopCloser(bytes.NewReader(a.Body)),
-		ContentLength: int64(len(a.Body)), Request: q,
+		Header: httpmsg.ParseHeader(a.Lines), Body: bodyOf(q.Context(), a), ContentLength: lengthOf(a), Request: q,
 	}, nil
 }
 
+// lengthOf is the length of a's whole body; -1: not told.
+func lengthOf(a *httpmsg.Answer) int64 {
+	if a.Rest == nil {
+		return int64(len(a.Body))
+	}
+	return max(a.Length, -1)
+}
+
+// bodyOf returns a's body. Where it is still coming, it ends with ctx.
+func bodyOf(ctx context.Context, a *httpmsg.Answer) io.ReadCloser {
+	if a.Rest == nil {
+		return io.NopCloser(bytes.NewReader(a.Body))
+	}
+	stop := context.AfterFunc(ctx, func() { a.Rest.Close() })
+	return &longBody{io.MultiReader(bytes.NewReader(a.Body), a.Rest), a.Rest, stop}
+}
+
+// longBody is a body that is still coming.
+type longBody struct {
+	io.Reader
+	rest io.Closer
+	stop func() bool
+}
+
+// Close is the method of io.Closer.
+func (l *longBody) Close() error {
+	l.stop()
+	return l.rest.Close()
+}
+
 // newID makes up the name of a request.
 func (b *Balancer) newID() string {
 	var id [33]byte
@@ -241,25 +359,14 @@
 	err := requestError(call.AddHeader(q.Header))
 	call.Host, call.HostMayLack = q.Host, !q.ProtoAtLeast(1, 1)
 	var a *httpmsg.Answer
-	unread := call.Length != 0
+	body := &wireBody{ReadCloser: q.Body}
 	if err == nil {
-		var read func(int64) ([]byte, error)
-		if call.Length != 0 {
-			read = func(limit int64) ([]byte, error) {
-				unread = false
-				body, err := readAll(q.Body, call.Length, limit)
-				if err != nil {
-					err = &RequestError{http.StatusBadRequest, "the body did not come whole"}
-				}
-				return body, err
-			}
-		}
-		a, err = b.do(q.Context(), &call, q.Header, read)
+		a, err = b.do(q.Context(), &call, q.Header, body, func() { http.NewResponseController(w).SetReadDeadline(time.Now()) })
 	}
 	header := w.Header()
 	if err != nil {
 		var request *RequestError
-		if q.ProtoMajor == 1 && (unread || errors.As(err, &request)) {
+		if q.ProtoMajor == 1 && (call.Length != 0 && !body.ended || errors.As(err, &request)) {
 			// Else net/http's server would wait for a body that nobody wants before it answers.
 			header.Set("Connection", "close")
 		}
@@ -269,9 +376,30 @@
 	for name, values := range httpmsg.ParseHeader(a.Lines) {
 		header[name] = values
 	}
-	header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if n := lengthOf(a); n >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	answer := bodyOf(q.Context(), a)
+	defer answer.Close()
 	w.WriteHeader(http.StatusOK)
-	w.Write(a.Body)
+	if _, err := io.Copy(w, answer); err != nil && a.Rest != nil {
+		panic(http.ErrAbortHandler) // the client must be able to tell that it has not come whole
+	}
+}
+
+// wireBody is a body that comes over the wire: what breaks it is told the client.
+type wireBody struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read is the method of io.Reader.
+func (w *wireBody) Read(p []byte) (int, error) {
+	n, err := w.ReadCloser.Read(p)
+	if w.ended = w.ended || err == io.EOF; err != nil && err != io.EOF {
+		err = &RequestError{http.StatusBadRequest, "the body did not come whole"}
+	}
+	return n, err
 }
 
 // targetOf is the target of q as it stood on the wire, unless something before has changed its path.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,8 +13,8 @@
 
 	"quillfront/internal/discovery"
 	"quillfront/internal/engine"
-	"quillfront/internal/retune"
 	"quillfront/internal/settings"
+	"quillfront/retune"
 )
 
 // Config is what one sidecar is told at its start.
--- a/internal/conformance/conformance.go
+++ b/internal/conformance/conformance.go
@@ -395,7 +395,7 @@
 		q.Body = body
 		return w.Ask(t.Context(), q)
 	}
-	for _, n := range []int{0, 1, 100, 64 << 10} {
+	for _, n := range []int{0, 1, 100, 64 << 10, 64<<10 + 1, 3 << 20} {
 		text := strings.Repeat("x", n)
 		want := fmt.Sprintf("served POST /pay/k %d", n)
 		if got := post(strings.NewReader(text)); got.String() != want {
@@ -406,7 +406,7 @@
 		}
 	}
 	before := requests(w.boxes)
-	long := bytes.Repeat([]byte("x"), 64<<10+1)
+	long := bytes.Repeat([]byte("x"), 32<<20+1)
 	// Over sockets the end of the connection may overtake the answer: not served is what counts.
 	if got := post(bytes.NewReader(long)); got.Kind != Rejected && got.Kind != Broken {
 		t.Errorf("over the limit: %v", got)
--- a/internal/conformance/edge.go
+++ b/internal/conformance/edge.go
@@ -133,7 +133,7 @@
 	r := bufio.NewReader(c)
 	for {
 		var raw bytes.Buffer
-		length := 0
+		length, chunked := 0, false
 		for {
 			line, err := r.ReadBytes('\n')
 			raw.Write(line)
@@ -146,11 +146,19 @@
 			if value, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
 				length, _ = strconv.Atoi(string(bytes.TrimSpace(value)))
 			}
+			chunked = chunked || string(line) == "Transfer-Encoding: chunked\r\n"
 			if len(bytes.TrimRight(line, "\r\n")) == 0 {
 				break
 			}
 		}
-		io.CopyN(&raw, r, int64(length))
+		if chunked {
+			if !chunks(&raw, r) {
+				s.note(n, raw.String())
+				return
+			}
+		} else {
+			io.CopyN(&raw, r, int64(length))
+		}
 		s.note(n, raw.String())
 		_, id, _ := strings.Cut(strings.ToLower(raw.String()), "\r\nx-request-id: ")
 		id, _, _ = strings.Cut(id, "\r\n")
@@ -165,6 +173,24 @@
 	}
 }
 
+// chunks copies a body in chunks, and reports whether its end has come.
+func chunks(to *bytes.Buffer, r *bufio.Reader) bool {
+	for {
+		line, err := r.ReadString('\n')
+		to.WriteString(line)
+		size, serr := strconv.ParseInt(strings.TrimSpace(line), 16, 32)
+		if err != nil || serr != nil {
+			return false
+		}
+		if n, err := io.CopyN(to, r, size+2); err != nil || n != size+2 {
+			return false
+		}
+		if size == 0 {
+			return true
+		}
+	}
+}
+
 func (s *rawServer) note(n int, raw string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,10 +24,10 @@
 	"quillfront/internal/httpfront"
 	"quillfront/internal/httpmsg"
 	"quillfront/internal/orders"
-	"quillfront/internal/retune"
 	"quillfront/internal/sockets"
 	"quillfront/internal/upstream"
 	"quillfront/policy"
+	"quillfront/retune"
 )
 
 const (
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -16,8 +16,8 @@
 	"sync/atomic"
 	"time"
 
-	"quillfront/internal/roster"
 	"quillfront/policy"
+	"quillfront/roster"
 )
 
 // longAgo lies between the clock's origin and the engine's start. It keeps every present time far from zero, which the
@@ -40,6 +40,8 @@
 	Withdrawn(policy.Time, policy.RequestID, policy.Actions)
 	Timer(policy.Time, string, policy.Actions)
 	Reconfigure(policy.Config) error
+	Streaming(policy.Time, policy.RequestID, int, policy.Actions)
+	Uploaded(policy.Time, policy.RequestID, policy.Actions)
 }
 
 // Endpoint is where a server is reached, and which one it is: an address may pass from one to another, and a server that
@@ -70,7 +72,8 @@
 type Ending struct {
 	Status policy.Status
 	Load   *policy.Load // nil if none came with the answer
-	Reply  any          // with policy.OK: the answer, for the front that asked
+	Reply  any          // with policy.OK: the answer, for the front that asked, unless it was given by Begin
+	Spent  bool         // the payload cannot be sent again
 }
 
 // Options is what an Engine is made of.
@@ -240,6 +243,7 @@
 func (e *Engine) hand(now policy.Time, r *Request, read policy.Time) {
 	e.module.Request(now, policy.Request{
 		ID: r.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Cost: r.Cost, Retry: r.Retry, Expires: read + r.Wait, Past: r.Past,
+		Upload: r.Upload,
 	}, e)
 }
 
@@ -321,17 +325,48 @@
 	r := a.req
 	r.out--
 	r.last = end.Status
+	delay := now - a.sent
+	if a.begun != 0 {
+		delay = a.begun - a.sent // the rest may be as long as it likes
+	}
 	if end.Status == policy.OK && !r.ended {
 		e.end(r)
 		e.give(r, Result{Kind: Served, Reply: end.Reply, Server: a.Server, Attempts: len(r.attempts)})
 	}
 	e.module.Outcome(now, policy.Outcome{
-		ID: r.id, Attempt: a.Number, Server: a.Server, Status: end.Status, Delay: now - a.sent,
-		Closed: r.ended, Load: end.Load,
+		ID: r.id, Attempt: a.Number, Server: a.Server, Status: end.Status, Delay: delay,
+		Closed: r.ended, Load: end.Load, Spent: end.Spent,
 	}, e)
 	e.forget(r)
 }
 
+// Begin gives the request of a its result before the attempt has ended: the answer has begun, and nothing else is sent for it
+// from now on. It reports false if the request has ended already, so that nobody awaits reply.
+func (a *Attempt) Begin(reply any) (wanted bool) {
+	e, r := a.engine, a.req
+	e.event(func(now policy.Time) {
+		if wanted = !r.ended; wanted {
+			a.begun = now
+			e.end(r)
+			e.give(r, Result{Kind: Served, Reply: reply, Server: a.Server, Attempts: len(r.attempts)})
+			e.module.Streaming(now, r.id, a.Number, e)
+		}
+	})
+	return wanted
+}
+
+// Uploaded tells that all of a payload that was still coming has come: the time of its request counts from now. It is
+// called before the attempt waits for its answer, by the one that carries it out.
+func (a *Attempt) Uploaded() {
+	e, r := a.engine, a.req
+	e.event(func(now policy.Time) {
+		a.Deadline = time.Now().Add(r.Wait)
+		if !r.ended {
+			e.module.Uploaded(now, r.id, e)
+		}
+	})
+}
+
 // The methods of policy.Actions. The module calls them under mu, so they never block, and report what comes of them
 // through after or from a goroutine of their own.
 
@@ -342,7 +377,7 @@
 		return
 	}
 	now := time.Now()
-	a := &Attempt{req: r, Number: len(r.attempts), Server: server, sent: now.Sub(e.origin), Deadline: now.Add(timeout)}
+	a := &Attempt{engine: e, req: r, Number: len(r.attempts), Server: server, sent: now.Sub(e.origin), Deadline: now.Add(timeout)}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	to, listed := e.endpoints[server]
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -17,6 +17,7 @@
 	Wait               time.Duration // how long the client waits
 	Payload            any           // what the transport sends; the engine never looks at it
 	Release            func()        // called once, when no attempt needs Payload any more; it must not block
+	Upload             bool          // Payload is still coming, and can be sent once; Wait runs from its end
 	Past               []policy.Past // what the module is told of earlier requests under its key
 	Order              any           // what whoever notes its attempts goes by; the engine never looks at it
 
@@ -65,8 +66,10 @@
 	Server   policy.ServerID
 	Deadline time.Time // the module waits no longer
 
-	req  *Request
-	sent policy.Time
+	engine *Engine
+	req    *Request
+	sent   policy.Time
+	begun  policy.Time // when its answer was passed on before its end; zero: it was not
 
 	mu       sync.Mutex
 	canceled bool
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
-	"quillfront/internal/roster"
 	"quillfront/policy"
+	"quillfront/roster"
 )
 
 // Listed returns what the list says of a server, whether operators have it out or not.
--- a/internal/engine/rules.go
+++ b/internal/engine/rules.go
@@ -4,8 +4,8 @@
 	"strings"
 	"time"
 
-	"quillfront/internal/retune"
 	"quillfront/policy"
+	"quillfront/retune"
 )
 
 // rules are the classes that requests may be of. They are replaced whole.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -16,7 +16,7 @@
 	"syscall"
 	"time"
 
-	"quillfront/internal/roster"
+	"quillfront/roster"
 )
 
 const (
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -34,9 +35,15 @@
 	// headTime is how long a client may take to write a head, counted from the start of a new connection: bad clients
 	// are owed an end within 3 s of it, and clients may take up to 2 s.
 	headTime = 2500 * time.Millisecond
-	// bodyTime is how long a client may take to write a body. It guards against clients that hold room and a
-	// descriptor for ever. One on a link so slow that 64 KiB take longer would be cut off wrongly.
+	// bodyTime is how long a client may take to write a body of up to httpmsg.MaxWhole. It guards against clients that hold room
+	// and a descriptor for ever. One on a link so slow that 64 KiB take longer would be cut off wrongly.
 	bodyTime = 2 * time.Second
+	// bodyStall is how long a longer body may stand still, and bodyRate how many bytes a second it must bring in the mean:
+	// half of what the slowest clients do.
+	bodyStall = 1500 * time.Millisecond
+	bodyRate  = 32 << 10
+	// mostHeld is the longest body that is held whole where there is room for it: such a request can be sent again.
+	mostHeld = 1 << 20
 	// idleTime is how long a client's connection may stand idle; 2 s are owed. Guards against clients that ask once
 	// and keep their connection for good. A client that asks more seldom pays with a new connection each time.
 	idleTime = 2100 * time.Millisecond
@@ -53,6 +60,10 @@
 	slowLeast = time.Second
 	// writeTime is how long a client may take none of its answer.
 	writeTime = 2 * time.Second
+	// streamTime is the same once an answer is passed on as it comes, for each piece of it.
+	streamTime = 5 * time.Second
+	// copyBuffer is the size of the pieces.
+	copyBuffer = 32 << 10
 	// lingerTime is how long what a client still sends is read and dropped after its request was turned away, so that
 	// the answer reaches it before a reset does.
 	lingerTime = 300 * time.Millisecond
@@ -69,7 +80,7 @@
 // NewRoom returns the room for the bodies of requests, in bytes. A body's whole length is reserved before it is read:
 // however many clients write at once, their bodies hold a fixed part of the memory, and others wait in the kernel.
 func NewRoom(memoryMB int) *semaphore.Weighted {
-	return semaphore.NewWeighted(max(int64(memoryMB)<<20/bodyShare, httpmsg.MaxBody))
+	return semaphore.NewWeighted(max(int64(memoryMB)<<20/bodyShare, httpmsg.MaxWhole))
 }
 
 // Server serves the clients. It reads requests itself rather than by net/http's server, which hides what must be known
@@ -113,6 +124,8 @@
 	peek    *sockets.Peeker // under the server's lock
 	r       *bufio.Reader
 	head    httpmsg.Head // of the present request
+	body    httpmsg.Body // the same
+	minor   int          // the same: of HTTP/1
 	scratch []byte       // for answers
 	more    chan error   // how the wait for what comes next has ended
 	waiting bool         // that wait is under way
@@ -328,7 +341,7 @@
 		if now := time.Now(); !first || now.After(until) {
 			c.SetReadDeadline(now.Add(headTime))
 		}
-		r, keep, err := s.read(c)
+		r, keep, rest, err := s.read(c)
 		if err != nil {
 			s.reject(c, err)
 			return
@@ -339,7 +352,7 @@
 			}
 			continue
 		}
-		if !s.answer(c, keep, r) || !s.enter(c, idle) {
+		if !s.answer(c, keep, r, rest) || !s.enter(c, idle) {
 			return
 		}
 	}
@@ -381,15 +394,15 @@
 
 // read reads one request and hands it to the engine, if it may be served. It returns no request for a probe of
 // readiness.
-func (s *Server) read(c *clientConn) (*engine.Request, persistence, error) {
+func (s *Server) read(c *clientConn) (*engine.Request, persistence, *httpmsg.Upload, error) {
 	if err := c.head.Read(c.r); err != nil {
-		return nil, last, err
+		return nil, last, nil, err
 	}
 	method, target, minor, err := c.head.Request()
 	if err != nil {
-		return nil, last, err
+		return nil, last, nil, err
 	}
-	c.bare = string(method) == http.MethodHead
+	c.bare, c.minor = string(method) == http.MethodHead, minor
 	keep := stays
 	switch {
 	case c.head.Close || minor == 0 && !c.head.Keep:
@@ -398,7 +411,7 @@
 		keep = spoken
 	}
 	if minor == 0 && c.head.Chunked { // such a sender knows of no chunks
-		return nil, last, httpmsg.ErrFraming
+		return nil, last, nil, httpmsg.ErrFraming
 	}
 	call := httpcall.Call{Method: methodName(method), Target: string(target), Length: max(c.head.Length, 0)}
 	if c.head.Chunked {
@@ -407,21 +420,21 @@
 	if call.Method == http.MethodGet && call.Target == "/healthz" && call.Length == 0 {
 		c.head.Discard(c.r)
 		if !s.enter(c, serving) {
-			return nil, last, errGone
+			return nil, last, nil, errGone
 		}
-		return nil, keep, nil
+		return nil, keep, nil, nil
 	}
 	lines := 0
 	for _, f := range c.head.Fields {
 		if err := call.Add(f); err != nil {
-			return nil, last, err
+			return nil, last, nil, err
 		}
 		lines += len(f.Name) + len(f.Value) + len(": \r\n")
 	}
 	call.HostMayLack = minor == 0
 	r, err := call.Request(s.engine)
 	if err != nil {
-		return nil, last, err
+		return nil, last, nil, err
 	}
 	m := &httpmsg.Message{Method: call.Method, Target: call.Target, Host: call.Host, Lines: make([]byte, 0, lines)}
 	expects := false
@@ -437,9 +450,9 @@
 	r.Payload = m
 	c.head.Discard(c.r)
 	if err := s.readBody(c, r, m, call.Length, expects); err != nil {
-		return nil, last, err
+		return nil, last, nil, err
 	}
-	if c.r.Buffered() > 0 {
+	if m.Rest == nil && c.r.Buffered() > 0 {
 		err = errCrowd
 	} else if !s.enter(c, serving) {
 		err = errGone
@@ -454,9 +467,9 @@
 		if r.Release != nil {
 			r.Release()
 		}
-		return nil, last, err
+		return nil, last, nil, err
 	}
-	return r, keep, nil
+	return r, keep, m.Rest, nil
 }
 
 // hand hands a request on.
@@ -488,7 +501,28 @@
 
 // answer waits for the final answer to r and writes it. It reports whether the connection can go on. The wait for what
 // comes next then goes on too: to end it for each request would cost two switches of goroutines.
-func (s *Server) answer(c *clientConn, keep persistence, r *engine.Request) bool {
+func (s *Server) answer(c *clientConn, keep persistence, r *engine.Request, rest *httpmsg.Upload) bool {
+	if rest != nil {
+		select {
+		case result := <-r.Result():
+			if err := rest.Broken(); err != nil && result.Kind != engine.Served {
+				s.reject(c, bodyError(err))
+				return false
+			}
+			return s.answerEarly(c, keep, rest, result)
+		case <-rest.Done():
+		}
+		if err := rest.Broken(); err != nil {
+			if s.engine.Withdraw(r) {
+				s.reject(c, bodyError(err))
+			} else if result := <-r.Result(); result.Kind != engine.Served {
+				s.reject(c, bodyError(err))
+			} else {
+				s.write(c, last, result)
+			}
+			return false
+		}
+	}
 	c.SetReadDeadline(time.Time{})
 	c.waiting = true
 	go c.await()
@@ -506,6 +540,19 @@
 	}
 }
 
+// answerEarly answers at once, though a part of the request's body is still to come, which is read and dropped then: else the
+// client, which reads only once it has written, would not get the answer before the end of the connection.
+func (s *Server) answerEarly(c *clientConn, keep persistence, rest *httpmsg.Upload, result engine.Result) bool {
+	src := rest.TakeBack(func() { c.SetReadDeadline(time.Now()) })
+	goesOn := s.write(c, keep, result)
+	if src != nil {
+		if _, err := io.Copy(io.Discard, src); err != nil {
+			return false
+		}
+	}
+	return goesOn
+}
+
 // await waits until something comes, the client leaves or the read deadline has passed.
 func (c *clientConn) await() {
 	_, err := c.r.Peek(1)
@@ -560,21 +607,21 @@
 	}
 }
 
-// readBody reads the body once there is room for it.
+// readBody reads the body once there is room for it, or a part of it where it is long: see httpmsg.Upload.
 func (s *Server) readBody(c *clientConn, r *engine.Request, m *httpmsg.Message, length int64, expects bool) error {
-	n := length
-	if n < 0 {
-		n = httpmsg.MaxBody // its length shows at its end
-	}
 	tooLong := httpcall.Rejection{Status: http.StatusRequestEntityTooLarge, Text: httpmsg.ErrBodyTooLong.Error()}
-	if n > httpmsg.MaxBody {
+	if length > httpmsg.MaxBody {
 		return tooLong
 	}
-	if n == 0 {
+	if length == 0 {
 		return nil
 	}
+	n := length
+	if n < 0 || n > httpmsg.MaxWhole && (n > mostHeld || !s.room.TryAcquire(n)) {
+		n = httpmsg.MaxWhole // the rest is read as it is sent on
+	}
 	until := time.Now().Add(bodyTime)
-	if !s.room.TryAcquire(n) {
+	if n <= httpmsg.MaxWhole && !s.room.TryAcquire(n) {
 		ctx, cancel := context.WithDeadline(context.Background(), until)
 		defer cancel()
 		if s.room.Acquire(ctx, n) != nil {
@@ -586,25 +633,59 @@
 	if expects && c.r.Buffered() == 0 {
 		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
+	c.body.Reset(c.r, length, length < 0)
 	var err error
-	if length >= 0 {
-		m.Body, err = httpmsg.ReadBody(c.r, length)
+	if n <= httpmsg.MaxWhole {
+		m.Body, err = c.body.UpTo(n)
 	} else {
-		m.Body, err = httpmsg.ReadChunked(c.r)
+		m.Body = make([]byte, n)
+		_, err = io.ReadFull(&paced{c: c, from: time.Now()}, m.Body)
 	}
 	if err != nil {
 		r.Release()
-		switch {
-		case errors.Is(err, httpmsg.ErrBodyTooLong):
-			return tooLong
-		case isTimeout(err):
-			return err
-		}
-		return httpcall.Rejection{Status: http.StatusBadRequest, Text: "the body did not come whole"}
+		return bodyError(err)
+	}
+	if !c.body.Ended() {
+		m.Rest, m.Length, r.Upload = httpmsg.NewUpload(&paced{c: c, from: time.Now(), size: n}), length, true
 	}
 	return nil
 }
 
+// bodyError is why a request whose body broke off with err is turned away.
+func bodyError(err error) error {
+	switch {
+	case errors.Is(err, httpmsg.ErrBodyTooLong):
+		return httpcall.Rejection{Status: http.StatusRequestEntityTooLarge, Text: err.Error()}
+	case isTimeout(err):
+		return err
+	}
+	return httpcall.Rejection{Status: http.StatusBadRequest, Text: "the body did not come whole"}
+}
+
+// paced reads the body of c's present request, which must not stand still for bodyStall nor be slower than bodyRate. It
+// guards against clients that hold a connection to a server, and its place there, with a body that never ends.
+type paced struct {
+	c    *clientConn
+	from time.Time // when the body began
+	size int64     // of it, so far
+}
+
+// Read is the method of io.Reader.
+func (p *paced) Read(b []byte) (int, error) {
+	now := time.Now()
+	until := p.from.Add(bodyTime + time.Duration(p.size)*time.Second/bodyRate)
+	if now.After(until) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if still := now.Add(bodyStall); still.Before(until) {
+		until = still
+	}
+	p.c.SetReadDeadline(until)
+	n, err := p.c.body.Read(b)
+	p.size += int64(n)
+	return n, err
+}
+
 // write writes the final answer, and reports whether the connection can go on.
 func (s *Server) write(c *clientConn, keep persistence, result engine.Result) bool {
 	s.mu.Lock()
@@ -612,21 +693,32 @@
 		keep = last
 	}
 	s.mu.Unlock()
-	status, body, lines := http.StatusBadGateway, []byte(nil), []byte(nil)
+	status, a := http.StatusBadGateway, &noAnswer
 	switch result.Kind {
 	case engine.Served:
-		if a, ok := result.Reply.(*httpmsg.Answer); ok {
-			status, body, lines = http.StatusOK, a.Body, a.Lines
+		if served, ok := result.Reply.(*httpmsg.Answer); ok {
+			status, a = http.StatusOK, served
 		}
 	case engine.Refused:
 		status = http.StatusServiceUnavailable
 	}
+	chunked := a.Rest != nil && a.Length < 0
+	if chunked && c.minor == 0 { // it knows of no chunks: the end of the connection is that of the body
+		chunked, keep = false, last
+	}
 	b := append(c.scratch[:0], "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(b, ' ')
 	b = append(b, http.StatusText(status)...)
 	b = append(b, "\r\n"...)
-	b = httpmsg.AppendInt(b, "Content-Length", int64(len(body)))
+	switch {
+	case a.Rest == nil:
+		b = httpmsg.AppendInt(b, "Content-Length", int64(len(a.Body)))
+	case a.Length >= 0:
+		b = httpmsg.AppendInt(b, "Content-Length", a.Length)
+	case chunked:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	}
 	switch keep {
 	case last:
 		b = append(b, "Connection: close\r\n"...)
@@ -646,9 +738,12 @@
 	if result.MayHaveRun {
 		b = append(b, httpmsg.UnknownLine...)
 	}
-	b = append(b, lines...)
+	b = append(b, a.Lines...)
 	b = append(b, "\r\n"...)
-	b = append(b, body...)
+	if a.Rest != nil {
+		return s.stream(c, b, a, chunked) && keep != last
+	}
+	b = append(b, a.Body...)
 	if c.scratch = nil; cap(b) <= mostScratch {
 		c.scratch = b
 	}
@@ -657,6 +752,54 @@
 	return err == nil && keep != last
 }
 
+// noAnswer is what is written where no server has answered.
+var noAnswer httpmsg.Answer
+
+var buffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
+// stream writes head and an answer that is still coming, and reports whether the client has it whole. If it has not, the
+// connection ends in a way that tells so: short of the length, without the last chunk, or with a reset where only the end
+// of the connection would end the body.
+func (s *Server) stream(c *clientConn, head []byte, a *httpmsg.Answer, chunked bool) bool {
+	defer a.Rest.Close()
+	var size [20]byte
+	piece := func(first, b []byte) error {
+		c.SetWriteDeadline(time.Now().Add(streamTime))
+		parts := net.Buffers{first, b}
+		if chunked {
+			parts = net.Buffers{first, append(strconv.AppendInt(size[:0], int64(len(b)), 16), "\r\n"...), b, []byte("\r\n")}
+		}
+		if len(b) == 0 {
+			parts = net.Buffers{first}
+		}
+		_, err := parts.WriteTo(c.Conn)
+		return err
+	}
+	err := piece(head, a.Body)
+	buf := buffers.Get().(*[copyBuffer]byte)
+	defer buffers.Put(buf)
+	for err == nil {
+		var n int
+		n, err = a.Rest.Read(buf[:])
+		if n > 0 {
+			if werr := piece(nil, buf[:n]); werr != nil {
+				err = werr
+			}
+		}
+	}
+	if err == io.EOF && chunked {
+		if err = piece([]byte("0\r\n\r\n"), nil); err == nil {
+			err = io.EOF
+		}
+	}
+	if err != io.EOF && !chunked && a.Length < 0 {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+	}
+	return err == io.EOF
+}
+
 // Stats counts a server's connections.
 type Stats struct {
 	Open  int // in all
--- /dev/null
+++ b/internal/httpmsg/body.go
@@ -0,0 +1,227 @@
+package httpmsg
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http/httputil"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// MaxBody is the longest body that a message may have, in bytes, by the protocol.
+	MaxBody = 32 << 20
+	// MaxWhole is the longest body that is always held whole before it goes on, in bytes. Above it the first bytes of an answer
+	// are what counts.
+	MaxWhole = 64 << 10
+	// mostTrailer bounds the trailer section after a chunked body, in bytes; what stands in it is dropped.
+	mostTrailer = 4 << 10
+)
+
+// Body reads the body of the message whose head was taken from r. It gives io.EOF only where the body ends as its framing
+// says, and leaves what stands behind it in r. Before Reset it must not be read.
+type Body struct {
+	r       *bufio.Reader
+	chunks  io.Reader // nil: the body is not in chunks
+	left    int64     // without chunks: bytes to come; negative: all until the end of the connection
+	size    int64     // bytes that were read
+	trailer bool      // the chunks have ended, the trailer section has not
+	err     error     // what ended it
+}
+
+// Reset makes b the body of a message of that length, which is -1 where only the end of the connection ends it.
+func (b *Body) Reset(r *bufio.Reader, length int64, chunked bool) {
+	*b = Body{r: r, left: length}
+	if chunked {
+		b.chunks = httputil.NewChunkedReader(r)
+	}
+	if b.left > MaxBody && !chunked {
+		b.err = ErrBodyTooLong
+	}
+}
+
+// Ended reports whether all of the body has been read.
+func (b *Body) Ended() bool { return b.err == io.EOF || b.chunks == nil && b.left == 0 && b.err == nil }
+
+// Read is the method of io.Reader. It gives ErrBodyTooLong for what is over MaxBody, and io.ErrUnexpectedEOF where the
+// connection ends before the body does.
+func (b *Body) Read(p []byte) (n int, err error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	if len(p) == 0 {
+		return 0, nil
+	}
+	switch {
+	case b.chunks != nil:
+		if n, err = b.chunks.Read(p); err == io.EOF {
+			if err = b.readTrailer(); err == nil {
+				err = io.EOF
+			}
+		}
+	case b.left == 0:
+		err = io.EOF
+	case b.left > 0:
+		n, err = b.r.Read(p[:min(int64(len(p)), b.left)])
+		b.left -= int64(n)
+		err = unexpected(err)
+	default:
+		n, err = b.r.Read(p)
+	}
+	if b.size += int64(n); b.size > MaxBody {
+		n, err = 0, ErrBodyTooLong
+	}
+	b.err = err
+	return n, err
+}
+
+func (b *Body) readTrailer() error {
+	for left := mostTrailer; ; {
+		line, err := b.r.ReadSlice('\n')
+		if err != nil {
+			return unexpected(err)
+		}
+		if left -= len(line); left < 0 {
+			return ErrHeadTooLong
+		}
+		if line = trimLine(line); len(line) == 0 {
+			return nil
+		}
+		if name, _, ok := bytes.Cut(line, []byte(":")); !ok || !token(name) || hasControl(line) {
+			return ErrHead
+		}
+	}
+}
+
+// UpTo reads until n bytes have come or the body has ended, which Ended tells. Where its length is not told, it reads one
+// more to learn whether it has.
+func (b *Body) UpTo(n int64) ([]byte, error) {
+	if b.err != nil && b.err != io.EOF {
+		return nil, b.err
+	}
+	var buf []byte
+	if b.chunks == nil && b.left >= 0 {
+		if n = min(n, b.left); n == 0 {
+			return nil, nil
+		}
+		buf = make([]byte, 0, n)
+	} else {
+		n++
+	}
+	for int64(len(buf)) < n {
+		if len(buf) == cap(buf) {
+			buf = append(buf, 0)[:len(buf)]
+		}
+		m, err := b.Read(buf[len(buf):min(int64(cap(buf)), n)])
+		buf = buf[:len(buf)+m]
+		if err == io.EOF {
+			return buf, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return buf, nil
+}
+
+// Whole reads the rest of the body, of at most limit bytes; beyond that it gives ErrBodyTooLong.
+func (b *Body) Whole(limit int64) ([]byte, error) {
+	if b.chunks == nil && b.left > limit {
+		return nil, ErrBodyTooLong
+	}
+	body, err := b.UpTo(limit)
+	if err == nil && int64(len(body)) > limit {
+		return nil, ErrBodyTooLong
+	}
+	return body, err
+}
+
+// unexpected makes the end of the input an error within a message.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// ErrTakenBack tells a reader of an Upload that whoever owns it has taken it back.
+var ErrTakenBack = errors.New("the rest of the body was taken back")
+
+// Upload is what is still to come of a request's body. It is read once, by whoever carries out the attempt that begins to
+// read it; the front that it comes from learns of its end by Done, and may take it back.
+type Upload struct {
+	src     io.Reader
+	started atomic.Bool
+	taken   atomic.Bool
+	reading sync.Mutex // held by a Read that is under way
+	ended   sync.Once
+	done    chan struct{}
+	err     error // before done is closed: io.EOF, or what broke it
+}
+
+// NewUpload returns an Upload of what src gives.
+func NewUpload(src io.Reader) *Upload { return &Upload{src: src, done: make(chan struct{})} }
+
+// Read is the method of io.Reader.
+func (u *Upload) Read(p []byte) (int, error) {
+	u.reading.Lock()
+	defer u.reading.Unlock()
+	if u.taken.Load() {
+		return 0, ErrTakenBack
+	}
+	u.started.Store(true)
+	n, err := u.src.Read(p)
+	if err != nil {
+		u.end(err)
+	}
+	return n, err
+}
+
+func (u *Upload) end(err error) {
+	u.ended.Do(func() {
+		u.err = err
+		close(u.done)
+	})
+}
+
+// Started reports whether something has been read, so that the body cannot be sent again.
+func (u *Upload) Started() bool { return u.started.Load() }
+
+// Done is closed once nothing more will be read.
+func (u *Upload) Done() <-chan struct{} { return u.done }
+
+// Err returns what ended it, once Done is closed: io.EOF if all was read. Before, it returns nil.
+func (u *Upload) Err() error {
+	select {
+	case <-u.done:
+		return u.err
+	default:
+		return nil
+	}
+}
+
+// Broken returns what broke the body on its way here, if something has.
+func (u *Upload) Broken() error {
+	if err := u.Err(); err != io.EOF && err != ErrTakenBack {
+		return err
+	}
+	return nil
+}
+
+// TakeBack ends the reading: wake makes a Read that is under way return. It returns the source, of which nothing is read
+// any more by others, and nil if it has been read to its end.
+func (u *Upload) TakeBack(wake func()) io.Reader {
+	u.taken.Store(true)
+	if !u.reading.TryLock() {
+		wake()
+		u.reading.Lock()
+	}
+	defer u.reading.Unlock()
+	u.end(ErrTakenBack)
+	if u.err == io.EOF {
+		return nil
+	}
+	return u.src
+}
--- a/internal/httpmsg/head.go
+++ b/internal/httpmsg/head.go
@@ -7,9 +7,7 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"io"
 	"net/http"
-	"net/http/httputil"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,18 +15,12 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// MaxBody is the longest body that a message may have, in bytes, by the protocol.
-const MaxBody = 64 << 10
-
-// mostTrailer bounds the trailer section after a chunked body, in bytes; what stands in it is dropped.
-const mostTrailer = 4 << 10
-
 // What can be wrong with a message.
 var (
 	ErrHeadTooLong = errors.New("the head is too long")
 	ErrHead        = errors.New("the head cannot be read")
 	ErrFraming     = errors.New("the head gives the length of its body in more than one way")
-	ErrBodyTooLong = errors.New("the body is over 64 KiB")
+	ErrBodyTooLong = errors.New("the body is too long")
 	ErrNominated   = errors.New("Connection names a field that is meant for every recipient")
 )
 
@@ -319,62 +311,3 @@
 	b = strconv.AppendInt(b, n, 10)
 	return append(b, "\r\n"...)
 }
-
-// ReadChunked reads a body in chunks with its trailers, which are dropped. One that is over MaxBody is read no further
-// than that and gives ErrBodyTooLong.
-func ReadChunked(r *bufio.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), MaxBody+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > MaxBody {
-		return nil, ErrBodyTooLong
-	}
-	for left := mostTrailer; ; {
-		line, err := r.ReadSlice('\n')
-		if err != nil {
-			return nil, unexpected(err)
-		}
-		if left -= len(line); left < 0 {
-			return nil, ErrHeadTooLong
-		}
-		if line = trimLine(line); len(line) == 0 {
-			return body, nil
-		}
-		if name, _, ok := bytes.Cut(line, []byte(":")); !ok || !token(name) || hasControl(line) {
-			return nil, ErrHead
-		}
-	}
-}
-
-// unexpected makes the end of the input an error within a message.
-func unexpected(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
-// ReadBody reads a body of n bytes, at most MaxBody.
-func ReadBody(r *bufio.Reader, n int64) ([]byte, error) {
-	if n > MaxBody {
-		return nil, ErrBodyTooLong
-	}
-	if n == 0 {
-		return nil, nil
-	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, unexpected(err)
-	}
-	return body, nil
-}
-
-// ReadToEnd reads a body that only the end of the connection ends.
-func ReadToEnd(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
-	if err == nil && len(body) > MaxBody {
-		err = ErrBodyTooLong
-	}
-	return body, err
-}
--- a/internal/httpmsg/message.go
+++ b/internal/httpmsg/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"io"
 )
 
 // Message is a request as servers are sent it: the payload of an engine.Request between an HTTP front and an HTTP
@@ -13,21 +14,28 @@
 	Host   string
 	Lines  []byte // the further lines of its head, each ended by CRLF: none that the transport writes itself
 	Body   []byte
+	Rest   *Upload // what follows Body; nil: nothing
+	Length int64   // with Rest: of the whole body; negative: not told
 }
 
-// Answer is a server's whole 200 answer: the reply of an attempt. Nobody changes it.
+// Answer is a server's 200 answer: the reply of an attempt. Nobody changes it.
 type Answer struct {
 	Lines []byte // of its head, each ended by CRLF, but those that concern one connection only
-	Body  []byte // at most MaxBody
+	Body  []byte // at most MaxWhole
+	// Rest is what follows Body, as it comes; nil: nothing. Whoever has the answer reads it to its end or closes it, and
+	// passes on a body that breaks off as one that does: see Body.
+	Rest   io.ReadCloser
+	Length int64 // with Rest: of the whole body; negative: not told
 }
 
 // Codec turns answers into bytes and back, for whoever keeps them.
 type Codec struct{}
 
-// Encode returns the bytes of an *Answer, and nil for anything else: the length of its lines, the lines and the body.
+// Encode returns the bytes of an *Answer that is whole, and nil for anything else: the length of its lines, the lines and
+// the body.
 func (Codec) Encode(reply any) []byte {
 	a, ok := reply.(*Answer)
-	if !ok {
+	if !ok || a.Rest != nil {
 		return nil
 	}
 	b := make([]byte, 0, binary.MaxVarintLen64+len(a.Lines)+len(a.Body))
--- a/internal/management/server.go
+++ b/internal/management/server.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
-	"quillfront/internal/roster"
 	"quillfront/policy"
+	"quillfront/roster"
 )
 
 const (
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -21,10 +22,19 @@
 const (
 	// mostInterim bounds the 1xx answers before the final one.
 	mostInterim = 5
-	// answerTime is how long an answer may take from its first byte to its last. Guards against answers that stop in the
-	// middle, whose request would else wait for its whole time. An upstream that writes its answer in pieces and pauses
-	// longer would be given up wrongly.
+	// answerTime is how long an answer that has begun may stand still. Guards against answers that stop in the middle, whose
+	// request would else wait for its whole time. An upstream that writes its answer in pieces and pauses longer would be
+	// given up wrongly.
 	answerTime = 500 * time.Millisecond
+	// streamTime is the same once an answer is passed on as it comes: nothing else can be done for its request any more.
+	streamTime = 5 * time.Second
+	// sendTime is how long an upstream may take none of what is sent to it.
+	sendTime = 2 * time.Second
+	// mostHeld is how much of a long answer is held before it is passed on: what is spoilt shows mostly at its begin, and
+	// until then another attempt can be made.
+	mostHeld = 16 << 10
+	// copyBuffer is the size of the buffers through which long bodies go.
+	copyBuffer = 32 << 10
 	// idleShare is the part of the idle limit after which an idle connection is closed: the upstream closes it
 	// at the limit, and a request that crosses that close is lost to a reset.
 	idleShare = 0.6
@@ -55,10 +65,12 @@
 	r       *bufio.Reader
 	w       *bufio.Writer
 	head    httpmsg.Head // of the answer that is being read
+	body    httpmsg.Body // the same
 	number  [20]byte     // room to write one
 	since   time.Time
 	until   time.Time // the deadline of the present exchange
-	first   time.Time // when the first byte of the present answer came; zero: none has, or its deadline is set
+	answers bool      // the first byte of the present answer has come
+	stall   time.Duration
 }
 
 func newConn(nc net.Conn, to engine.Endpoint, release func()) *conn {
@@ -68,12 +80,11 @@
 	return c
 }
 
-// Read is the method of net.Conn. An answer that did not come in one piece must be whole within answerTime: the deadline
-// for it is set with the second piece, as most answers have none.
+// Read is the method of net.Conn. An answer that has begun may stand still for c.stall at most, which is answerTime unless it
+// is passed on as it comes. Its first piece has no deadline of its own, and most have but one.
 func (c *conn) Read(p []byte) (int, error) {
-	if !c.first.IsZero() {
-		c.SetReadDeadline(earlier(c.until, c.first.Add(answerTime)))
-		c.first = time.Time{}
+	if c.answers {
+		c.SetReadDeadline(earlier(c.until, time.Now().Add(c.stall)))
 	}
 	return c.Conn.Read(p)
 }
@@ -108,7 +119,7 @@
 
 // setUntil sets the deadline of an exchange.
 func (c *conn) setUntil(t time.Time) {
-	c.until, c.first = t, time.Time{}
+	c.until, c.answers, c.stall = t, false, answerTime
 	c.SetDeadline(t)
 }
 
@@ -222,8 +233,8 @@
 
 func (e errNotWritten) Unwrap() error { return e.error }
 
-// write writes m and its time left.
-func (c *conn) write(m *httpmsg.Message, left time.Duration) error {
+// write writes m and its time left. Of a body that is still coming it is told by uploaded when all of it is written.
+func (c *conn) write(m *httpmsg.Message, left time.Duration, uploaded func()) error {
 	w := c.w
 	w.WriteString(m.Method)
 	w.WriteByte(' ')
@@ -235,6 +246,9 @@
 	if left > 0 {
 		c.writeInt("X-Timeout-Ms: ", max(1, left.Milliseconds()))
 	}
+	if m.Rest != nil {
+		return c.upload(m, uploaded)
+	}
 	if len(m.Body) > 0 || m.Method != "GET" {
 		c.writeInt("Content-Length: ", int64(len(m.Body)))
 	}
@@ -243,39 +257,106 @@
 	return w.Flush() // a bufio.Writer keeps its first error
 }
 
+// errEarly tells that an answer has begun before the request was written whole.
+var errEarly = errors.New("the upstream answers early")
+
+// errSource wraps what broke a body on its way here: the upstream has no part in it.
+type errSource struct{ error }
+
+func (e errSource) Unwrap() error { return e.error }
+
+var buffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
+// upload writes a body as it comes. It ends with errEarly, and what is not written is not read, as soon as the upstream
+// answers. Every write has sendTime; how long the body takes to come is for its source to bound.
+func (c *conn) upload(m *httpmsg.Message, uploaded func()) error {
+	chunked := m.Length < 0
+	if chunked {
+		c.w.WriteString("Transfer-Encoding: chunked\r\n")
+	} else {
+		c.writeInt("Content-Length: ", m.Length)
+	}
+	c.w.WriteString("\r\n")
+	piece := func(b []byte) error {
+		c.SetWriteDeadline(time.Now().Add(sendTime))
+		if chunked && len(b) > 0 {
+			c.w.Write(append(strconv.AppendInt(c.number[:0], int64(len(b)), 16), "\r\n"...))
+		}
+		c.w.Write(b)
+		if chunked && len(b) > 0 {
+			c.w.WriteString("\r\n")
+		}
+		return c.w.Flush()
+	}
+	if err := piece(m.Body); err != nil {
+		return err
+	}
+	buf := buffers.Get().(*[copyBuffer]byte)
+	defer buffers.Put(buf)
+	for {
+		n, err := m.Rest.Read(buf[:])
+		if n > 0 {
+			if c.peek.SomethingCame() {
+				return errEarly
+			}
+			if err := piece(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return errSource{err}
+		}
+	}
+	if chunked {
+		c.w.WriteString("0\r\n\r\n")
+	}
+	if err := c.w.Flush(); err != nil {
+		return err
+	}
+	uploaded()
+	return nil
+}
+
 func (c *conn) writeInt(name string, n int64) {
 	c.w.WriteString(name)
 	c.w.Write(strconv.AppendInt(c.number[:0], n, 10))
 	c.w.WriteString("\r\n")
 }
 
-// exchange writes m and reads the head of the answer, which then stands in c.head and still in c.r.
-func (c *conn) exchange(m *httpmsg.Message, left time.Duration) (code, minor int, err error) {
-	if err := c.write(m, left); err != nil {
-		return 0, 0, errNotWritten{err}
+// exchange writes m and reads the head of the answer, which then stands in c.head and still in c.r. uploaded is called, if
+// m's body is still coming, once all of it is written. early reports that the answer has come before.
+func (c *conn) exchange(m *httpmsg.Message, left time.Duration, uploaded func()) (code, minor int, early bool, err error) {
+	if err := c.write(m, left, uploaded); errors.Is(err, errEarly) {
+		early = true
+		c.SetReadDeadline(c.until)
+	} else if err != nil {
+		return 0, 0, false, errNotWritten{err}
 	}
 	for i := range mostInterim {
 		if i > 0 { // the one before may have set that of its own end
-			c.first = time.Time{}
+			c.answers = false
 			c.SetReadDeadline(c.until)
 		}
 		if _, err := c.r.Peek(1); err != nil {
-			return 0, 0, err
+			return 0, 0, early, err
 		}
-		c.first = time.Now()
+		c.answers = true
 		if err := c.head.Read(c.r); err != nil {
-			return 0, 0, err
+			return 0, 0, early, err
 		}
 		code, minor, err := c.status()
 		if err != nil {
-			return 0, 0, err
+			return 0, 0, early, err
 		}
 		if code >= 200 {
-			return code, minor, nil
+			return code, minor, early, nil
 		}
 		c.head.Discard(c.r)
 	}
-	return 0, 0, errors.New("too many interim answers")
+	return 0, 0, early, errors.New("too many interim answers")
 }
 
 // status reads the status line of the head that has been read. Chunks from HTTP/1.0 are rejected: a sender that knows of none
@@ -287,19 +368,49 @@
 	return code, minor, err
 }
 
-// body reads the body of the answer whose head has been discarded, of at most httpmsg.MaxBody. last reports whether the
-// connection can carry no further exchange.
-func (c *conn) body(code, minor int) (body []byte, last bool, err error) {
+// begin makes c.body the body of the answer whose head has been discarded. last reports whether the connection can carry no
+// further exchange once the body has been read.
+func (c *conn) begin(code, minor int) (last bool) {
 	last = c.head.Close || minor == 0 && !c.head.Keep
-	switch {
-	case code == 204 || code == 304: // these have none, whatever their heads say
-	case c.head.Chunked:
-		body, err = httpmsg.ReadChunked(c.r)
-	case c.head.Length >= 0:
-		body, err = httpmsg.ReadBody(c.r, c.head.Length)
-	default:
-		last = true
-		body, err = httpmsg.ReadToEnd(c.r)
+	length := c.head.Length
+	if code == 204 || code == 304 { // these have none, whatever their heads say
+		length = 0
+		c.head.Chunked = false
 	}
-	return body, last, err
+	c.body.Reset(c.r, length, c.head.Chunked)
+	return last || length < 0 && !c.head.Chunked
+}
+
+// long is the rest of an answer that is passed on as it comes. It implements io.ReadCloser, for one goroutine.
+type long struct {
+	c      *conn
+	settle func(error) // makes the connection idle, or closes it: io.EOF if all was read, nil if that is not wanted
+	ended  sync.Once
+	done   chan struct{} // closed once it is read to its end or closed
+	err    error         // before done is closed: what ended it; nil: it was closed before its end
+}
+
+// Read is the method of io.Reader.
+func (l *long) Read(p []byte) (int, error) {
+	n, err := l.c.body.Read(p)
+	if err == nil && l.c.body.Ended() {
+		l.end(io.EOF, l.settle)
+	} else if err != nil {
+		l.end(err, l.settle)
+	}
+	return n, err
+}
+
+// Close is the method of io.Closer.
+func (l *long) Close() error {
+	l.end(nil, l.settle)
+	return nil
+}
+
+func (l *long) end(err error, settle func(error)) {
+	l.ended.Do(func() {
+		settle(err)
+		l.err = err
+		close(l.done)
+	})
 }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -25,6 +27,8 @@
 	probeTimeout = 400 * time.Millisecond
 	// mostReport bounds the body of a probe's answer.
 	mostReport = 4 << 10
+	// mostStream bounds the time of an answer that is passed on as it comes: MaxBody at 64 kB a second, and some more.
+	mostStream = 10 * time.Minute
 	// mostLoad is the highest figure of a report that is taken for real.
 	mostLoad = 1e9
 )
@@ -111,7 +115,10 @@
 		return engine.Ending{Status: policy.Canceled}
 	}
 	m, _ := a.Payload().(*httpmsg.Message)
-	code, minor, err := c.exchange(m, max(time.Until(a.Deadline), 1))
+	code, minor, early, err := c.exchange(m, max(time.Until(a.Deadline), 1), func() {
+		a.Uploaded()
+		c.setUntil(a.Deadline)
+	})
 	if err != nil {
 		c.Close()
 		return t.broken(a, err)
@@ -140,9 +147,18 @@
 		}
 	}
 	c.head.Discard(c.r)
-	body, last, err := c.body(code, minor)
+	last := c.begin(code, minor) || early
+	held := int64(httpmsg.MaxWhole)
+	if c.head.Length > held {
+		held = mostHeld
+	}
+	body, err := c.body.UpTo(held)
+	if answer != nil && err == nil && !c.body.Ended() {
+		answer.Body = body
+		return t.passOn(a, c, answer, end, last)
+	}
 	wanted := a.OnCancel(nil) // from here on c is no longer the attempt's
-	if last || err != nil || !wanted {
+	if last || err != nil || !wanted || !c.body.Ended() {
 		c.Close()
 	} else {
 		t.pool.keep(c)
@@ -154,9 +170,45 @@
 		answer.Body = body
 		end.Reply = answer
 	}
+	end.Spent = spent(a)
 	return end
 }
 
+// passOn hands a long answer on as it comes, and waits for its end. end is the ending if it comes whole.
+func (t *Transport) passOn(a *engine.Attempt, c *conn, answer *httpmsg.Answer, end engine.Ending, last bool) engine.Ending {
+	rest := &long{c: c, done: make(chan struct{}), settle: func(err error) {
+		if a.OnCancel(nil) && err == io.EOF && !last {
+			t.pool.keep(c)
+		} else {
+			c.Close()
+		}
+	}}
+	answer.Rest, answer.Length = rest, c.head.Length
+	if c.head.Chunked {
+		answer.Length = -1
+	}
+	c.until, c.stall = time.Now().Add(mostStream), streamTime
+	hangUp := func() { // also where nobody reads on
+		c.hangUp()
+		rest.end(net.ErrClosed, func(error) {})
+	}
+	if !a.OnCancel(hangUp) || !a.Begin(answer) {
+		c.Close()
+		return engine.Ending{Status: policy.Canceled}
+	}
+	<-rest.done
+	if rest.err == io.EOF || rest.err == nil { // closed by whoever read it, which says nothing of the upstream
+		return end
+	}
+	return t.broken(a, rest.err)
+}
+
+// spent reports whether a's payload cannot be sent again.
+func spent(a *engine.Attempt) bool {
+	m, ok := a.Payload().(*httpmsg.Message)
+	return ok && m.Rest != nil && m.Rest.Started()
+}
+
 // dial opens a connection for a.
 func (t *Transport) dial(a *engine.Attempt, to engine.Endpoint) (*conn, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -171,10 +223,11 @@
 func (t *Transport) broken(a *engine.Attempt, err error) engine.Ending {
 	status := policy.Reset
 	var notWritten errNotWritten
+	var source errSource
 	switch {
 	case a.Canceled():
 		status = policy.Canceled
-	case errors.Is(err, sockets.ErrNone): // nothing was wrong with the upstream
+	case errors.Is(err, sockets.ErrNone) || errors.As(err, &source): // nothing was wrong with the upstream
 		status = policy.Moot
 	case errors.As(err, &notWritten): // whatever ended it, the upstream never had the whole
 		status = policy.ConnectFailed
@@ -182,7 +235,7 @@
 		status = policy.Timeout
 	}
 	t.log.Debug("attempt", "request", a.Name(), "upstream", a.Server, "status", status, "err", err)
-	return engine.Ending{Status: status}
+	return engine.Ending{Status: status, Spent: spent(a)}
 }
 
 // Probe is a method of engine.Transport. It takes up to 400 ms.
@@ -200,12 +253,13 @@
 		}
 	}
 	defer context.AfterFunc(ctx, c.hangUp)()
-	code, minor, err := c.exchange(&httpmsg.Message{Method: http.MethodGet, Target: "/load", Host: to.Addr}, 0)
+	code, minor, _, err := c.exchange(&httpmsg.Message{Method: http.MethodGet, Target: "/load", Host: to.Addr}, 0, nil)
 	var body []byte
 	last := false
 	if err == nil {
 		c.head.Discard(c.r)
-		body, last, err = c.body(code, minor)
+		last = c.begin(code, minor)
+		body, err = c.body.UpTo(mostReport)
 	}
 	var notWritten errNotWritten
 	switch {
@@ -220,14 +274,14 @@
 		c.Close()
 		return policy.Reset, nil
 	}
-	if last || len(body) >= mostReport {
+	if last || !c.body.Ended() {
 		c.Close()
 	} else {
 		t.pool.keep(c)
 	}
 	switch code {
 	case http.StatusOK:
-		return policy.OK, parseLoad(string(body[:min(len(body), mostReport)]), t.load.Load().fields)
+		return policy.OK, parseLoad(string(body), t.load.Load().fields)
 	case http.StatusServiceUnavailable:
 		return policy.Full, nil
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -125,6 +125,7 @@
 	Cost    time.Duration // rough expected work; zero: unknown
 	Retry   bool
 	Expires Time   // the client gives this try up
+	Upload  bool   // it is still coming, can be sent only once, and its time counts from its end: see Uploaded
 	Past    []Past // attempts under its key by requests before it, that may have run
 }
 
@@ -171,6 +172,7 @@
 	Status  Status
 	Delay   time.Duration
 	Closed  bool // the request has ended
+	Spent   bool // the request cannot be sent again, whatever the rules would allow
 	Load    *Load
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -233,7 +233,7 @@
 		left := q.Expires - now
 		c = &class{Class: Class{Name: q.Class, Effect: Unsafe, Aim: left, Deadline: left}}
 	}
-	r := &request{Request: q, class: c, most: b.cfg.MaxAttempts}
+	r := &request{Request: q, class: c, most: b.cfg.MaxAttempts, taken: now}
 	for _, p := range q.Past {
 		r.past = append(r.past, attempt{zone: p.Zone, cell: p.Cell, sent: now - p.Age})
 	}
@@ -409,6 +409,7 @@
 	r.out--
 	a.server.out--
 	r.ended = r.ended || o.Closed
+	r.spent = r.spent || o.Spent
 	if o.Status == OK || o.Status == Timeout {
 		if at := b.delay.at(a.depth); at > 0 && !math.IsInf(at, 1) {
 			s := a.server
@@ -605,7 +606,7 @@
 
 // maySend is the one judge of whether the rules allow an attempt of r at s.
 func (b *Balancer) maySend(now Time, r *request, s *server) bool {
-	if r.ended || r.stream || s.State != Ready || now >= r.Expires || len(r.attempts) >= r.most ||
+	if r.ended || r.stream || r.spent || r.Upload && r.out > 0 || s.State != Ready || now >= r.Expires || len(r.attempts) >= r.most ||
 		r.out > 0 && !b.cfg.MayDuplicate {
 		return false
 	}
@@ -677,10 +678,28 @@
 	}
 }
 
-// Streaming notes that the answer of r has begun.
+// Streaming notes that the answer of r has begun: other attempts of it are of no use any more.
 func (b *Balancer) Streaming(now Time, id RequestID, attempt int, act Actions) {
 	if r := b.requests[id]; r != nil {
 		r.stream = true
+		if attempt >= 0 && attempt < len(r.attempts) {
+			r.attempts[attempt].canceled = true // it is the one that goes on
+			b.cancelAll(r, act)
+		}
+	}
+}
+
+// Uploaded notes that the last byte of a request has come which was still coming: its time counts from now, and it
+// cannot be sent again.
+func (b *Balancer) Uploaded(now Time, id RequestID, act Actions) {
+	if r := b.requests[id]; r != nil && r.Upload && !r.ended {
+		r.Upload, r.spent = false, true
+		late := now - r.taken
+		r.taken = now
+		for _, t := range []*Time{&r.Expires, &r.began, &r.useful, &r.end} {
+			*t += late
+		}
+		act.SetTimer(r.end-now, token(r.ID))
 	}
 }
 
@@ -711,7 +730,7 @@
 	id, _ := strconv.ParseUint(tok, 36, 64)
 	r := b.requests[RequestID(id)]
 	switch {
-	case r == nil || r.ended || r.stream:
+	case r == nil || r.ended || r.stream || r.Upload && r.out > 0: // the last is for whoever reads it to end
 	case now >= r.end:
 		b.finish(now, r, false, act)
 	case r.patience > 0 && now >= r.patience:
--- a/policy/state.go
+++ b/policy/state.go
@@ -168,6 +168,8 @@
 	past     []attempt // of earlier requests under its key: they may have run
 	out      int
 	ended    bool
+	spent    bool // nothing is left that could be sent
+	taken    Time // when it came, or its upload ended
 	stream   bool // the answer has begun; the client has it
 }
 
