Count a server as working only between a request's last byte and its answer's first

Cause: an upload that is still coming and an answer that is being read counted as work at their server, and an upload's time as its delay: with slow peers servers passed for loaded, and refusals followed.

Change: policy notes an attempt as work of its server's from Uploaded to Streaming; the delay counts from the last byte.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -360,7 +360,7 @@
 func (a *Attempt) Uploaded() {
 	e, r := a.engine, a.req
 	e.event(func(now policy.Time) {
-		a.Deadline = time.Now().Add(r.Wait)
+		a.Deadline, a.sent = time.Now().Add(r.Wait), now
 		if !r.ended {
 			e.module.Uploaded(now, r.id, e)
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -407,7 +407,7 @@
 	a := &r.attempts[o.Attempt]
 	a.out, a.notRun = false, o.Status.NotRun()
 	r.out--
-	a.server.out--
+	a.works(false)
 	r.ended = r.ended || o.Closed
 	r.spent = r.spent || o.Spent
 	if o.Status == OK || o.Status == Timeout {
@@ -499,7 +499,7 @@
 		b.earn(1 - refusedShare)
 	}
 	s.used, s.open = now, true
-	s.out++
+	r.attempts[len(r.attempts)-1].works(!r.Upload)
 	b.sweep(now, act)
 	act.Send(r.ID, s.ID, r.end-now)
 	return true
@@ -683,6 +683,7 @@
 	if r := b.requests[id]; r != nil {
 		r.stream = true
 		if attempt >= 0 && attempt < len(r.attempts) {
+			r.attempts[attempt].works(false)
 			r.attempts[attempt].canceled = true // it is the one that goes on
 			b.cancelAll(r, act)
 		}
@@ -694,6 +695,12 @@
 func (b *Balancer) Uploaded(now Time, id RequestID, act Actions) {
 	if r := b.requests[id]; r != nil && r.Upload && !r.ended {
 		r.Upload, r.spent = false, true
+		for i := range r.attempts {
+			if a := &r.attempts[i]; a.out {
+				a.sent, a.depth = now, b.depth(a.server)
+				a.works(true)
+			}
+		}
 		late := now - r.taken
 		r.taken = now
 		for _, t := range []*Time{&r.Expires, &r.began, &r.useful, &r.end} {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -125,7 +125,7 @@
 			c = &class{Class: Class{Effect: Unsafe}}
 		}
 		s := b.servers["s0"]
-		r := &request{Request: Request{Expires: time.Second}, class: c}
+		r := &request{Request: Request{Expires: time.Second}, class: c, most: b.cfg.MaxAttempts}
 		r.attempts = []attempt{{server: s, zone: s.Zone, cell: s.Cell, notRun: tt.first.NotRun()}}
 		var again []ServerID
 		for _, id := range sortedKeys(b.servers) {
@@ -148,7 +148,7 @@
 		cfg.MayDuplicate = may
 		b, _ := start(t, cfg, 2)
 		s := b.servers["s0"]
-		r := &request{Request: Request{Expires: time.Second}, class: b.classes["safe"], out: 1}
+		r := &request{Request: Request{Expires: time.Second}, class: b.classes["safe"], out: 1, most: b.cfg.MaxAttempts}
 		r.attempts = []attempt{{server: s, out: true}}
 		if got := b.maySend(0, r, b.servers["s1"]); got != may {
 			t.Errorf("MayDuplicate %v: maySend = %v", may, got)
@@ -184,7 +184,7 @@
 			}
 			r := &request{
 				Request: Request{ID: RequestID(i + 1), Expires: now + time.Second},
-				class:   b.classes["safe"], useful: now + time.Second, end: now + time.Second,
+				class:   b.classes["safe"], most: b.cfg.MaxAttempts, useful: now + time.Second, end: now + time.Second,
 			}
 			b.send(now, r, b.set(now), rec)
 			if n := len(r.attempts); n > 0 && r.attempts[0].server == cold {
--- a/policy/state.go
+++ b/policy/state.go
@@ -151,6 +151,19 @@
 	depth    float64 // of the server when it was sent
 	out      bool    // no outcome yet
 	notRun   bool    // proven never to have run
+	counted  bool    // its server works on it, as far as is known
+}
+
+// works notes whether its server works on a: not before the last byte of a request has come, nor once the answer has begun.
+// Guards against servers that pass for loaded because peers are slow to write or read.
+func (a *attempt) works(is bool) {
+	switch {
+	case is && !a.counted:
+		a.server.out++
+	case !is && a.counted:
+		a.server.out--
+	}
+	a.counted = is
 }
 
 type request struct {
