Tell figures at the operators' address, and give cold servers a part of what would be refused

Change: internal/telemetry (prometheus/client_golang, figures read at the scrape from their owners), engine.Counts; policy.turnAway. Tests of both, and of uploads, streams, spent requests, Reconfigure and a server back from a drain in the module.

--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -8,8 +8,10 @@
 	"sync"
 	"time"
 
+	"quillfront/internal/engine"
 	"quillfront/internal/handover"
 	"quillfront/internal/management"
+	"quillfront/internal/telemetry"
 	"quillfront/policy"
 )
 
@@ -151,4 +153,23 @@
 }
 
 // Metrics is a method of management.Operated.
-func (o operated) Metrics() http.Handler { return nil }
+func (o operated) Metrics() http.Handler { return telemetry.Handler(o) }
+
+// Counts is a method of telemetry.Source.
+func (o operated) Counts() map[string]engine.Counts { return o.engine.Counts() }
+
+// State is a method of telemetry.Source.
+func (o operated) State() telemetry.State {
+	s := telemetry.State{Engine: o.engine.Snapshot()}
+	s.Descriptors[0], s.Descriptors[1] = o.sockets.InUse()
+	s.Places[0], s.Places[1] = o.sockets.Limits()
+	if o.desk != nil {
+		d := o.desk.Stats()
+		s.Orders = &d
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s.Out, s.Evacuated = len(o.state.Absences.Out), o.state.Evacuated
+	s.Applied, s.Rejected = o.reloads.applied, o.reloads.rejected
+	return s
+}
--- a/internal/daemon/operate_test.go
+++ b/internal/daemon/operate_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -193,3 +194,35 @@
 		t.Errorf("the request that was open: %d %q", resp.StatusCode, body)
 	}
 }
+
+// TestTelemetry: the figures tell what has become of requests, and what operators have asked for.
+func TestTelemetry(t *testing.T) {
+	m := newScript()
+	m.request = func(now policy.Time, q policy.Request, act policy.Actions) {
+		if q.Key == "no" {
+			act.Refuse(q.ID, 0)
+			return
+		}
+		act.Send(q.ID, "a", q.Expires-now)
+	}
+	w := start(t, m, peer(t, say(okAnswer)), "127.0.0.1:1")
+	for _, key := range []string{"k", "k", "no"} {
+		w.ask(t, strings.Replace(plainGet, "/read/k", "/read/"+key, 1))
+	}
+	o := operated{w.Sidecar}
+	if err := o.Exclude("a"); err != nil {
+		t.Fatal(err)
+	}
+	w.ReloadFailed(errors.New("no"))
+	rec := httptest.NewRecorder()
+	o.Metrics().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/api/telemetry", nil))
+	for _, want := range []string{
+		`svc_ok_total{kind="read"} 2`, `svc_shed_total{kind="read"} 1`, `svc_errors_total{kind="read"} 0`,
+		`svc_tries_total{kind="read",result="ok"} 2`, `svc_active 0`, `svc_pool_size 1`, `svc_pool_out 1`, `svc_pool_draining 0`,
+		`svc_config_rejected_total 1`, `svc_config_applied_total 0`, `svc_descriptors_most{of="all"} 240`,
+	} {
+		if !strings.Contains(rec.Body.String(), want+"\n") {
+			t.Errorf("no line %q", want)
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -106,6 +106,7 @@
 	lastID    policy.RequestID
 	endpoints map[policy.ServerID]Endpoint // of the servers that are listed
 	listed    map[policy.ServerID]Server   // the list as it was told
+	counts    map[string]*Counts           // by class
 	told      bool                         // by the source
 	absences  roster.Absences              // what operators have taken out of it
 	source    Source
@@ -129,7 +130,7 @@
 		log: o.Log, ctx: ctx, stop: stop, origin: origin, originMs: origin.UnixMilli(), to: o.Transport,
 		module: o.Module, requests: map[policy.RequestID]*Request{},
 		names: map[string]*Request{}, endpoints: map[policy.ServerID]Endpoint{}, source: o.Source, seq: UnknownSeq,
-		drained: make(chan struct{}), listed: map[policy.ServerID]Server{},
+		drained: make(chan struct{}), listed: map[policy.ServerID]Server{}, counts: map[string]*Counts{},
 	}
 	e.rules.Store(newRules(o.Config))
 	e.alarm = time.AfterFunc(longAgo, e.ring)
@@ -234,6 +235,7 @@
 	}
 	e.lastID++
 	e.open++
+	e.count(r).Taken++
 	r.id, r.result = e.lastID, make(chan Result, 1)
 	e.requests[r.id] = r
 	return nil
@@ -260,6 +262,7 @@
 
 func (e *Engine) withdraw(now policy.Time, r *Request) {
 	e.end(r)
+	e.count(r).Withdrawn++
 	if r.Ended != nil {
 		r.Ended(Result{}, true)
 	}
@@ -283,6 +286,7 @@
 // give delivers r's one result.
 func (e *Engine) give(r *Request, result Result) {
 	r.result <- result
+	e.count(r).Results[result.Kind]++
 	if r.Ended != nil {
 		r.Ended(result, false)
 	}
@@ -325,6 +329,7 @@
 	r := a.req
 	r.out--
 	r.last = end.Status
+	e.count(r).Attempts[end.Status]++
 	delay := now - a.sent
 	if a.begun != 0 {
 		delay = a.begun - a.sent // the rest may be as long as it likes
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,153 @@
+// Package telemetry tells what a sidecar does as metrics in the Prometheus text format. It keeps no figures of its own: each
+// scrape reads those that their owners keep, so that a request costs nothing more.
+package telemetry
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"quillfront/internal/engine"
+	"quillfront/internal/orders"
+	"quillfront/policy"
+)
+
+// Source is whose figures are told.
+type Source interface {
+	Counts() map[string]engine.Counts
+	State() State
+}
+
+// State is what a sidecar holds at one moment.
+type State struct {
+	Engine            engine.Snapshot
+	Out               int // servers that operators have out
+	Evacuated         bool
+	Applied, Rejected int // configurations
+	Descriptors       [2]int
+	Places            [2]int        // descriptors that may be taken, in all and by clients
+	Orders            *orders.Stats // nil: nothing is noted of orders
+}
+
+const prefix = "svc_"
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prefix+name, help, labels, nil)
+}
+
+var (
+	okTotal       = desc("ok_total", "Requests that a server answered.", "kind")
+	shedTotal     = desc("shed_total", "Requests refused: a retry is harmless.", "kind")
+	errorsTotal   = desc("errors_total", "Requests that failed: nothing is promised.", "kind")
+	leftTotal     = desc("withdrawn_total", "Requests whose clients left.", "kind")
+	triesTotal    = desc("tries_total", "Attempts that have ended.", "kind", "result")
+	active        = desc("active", "Requests without an answer.")
+	held          = desc("held", "Requests that wait for a report.")
+	poolSize      = desc("pool_size", "Servers that are listed.")
+	poolEjected   = desc("pool_ejected", "Servers left out for what they failed at.")
+	poolOut       = desc("pool_out", "Servers that operators have out.")
+	poolDraining  = desc("pool_draining", "Servers that count as draining.")
+	readySet      = desc("ready_set", "Servers that requests usually go to.")
+	threshold     = desc("threshold", "Shortest queue of the last probe round.")
+	evacuated     = desc("evacuated", "1 while operators have this sidecar drained.")
+	applied       = desc("config_applied_total", "Configurations taken over.")
+	rejected      = desc("config_rejected_total", "Configurations that could not be used.")
+	descriptors   = desc("descriptors", "Descriptors in use.", "of")
+	places        = desc("descriptors_most", "Descriptors that may be in use.", "of")
+	ordersTotal   = desc("orders_total", "Requests that named an order, by what followed from what was known of it.", "result")
+	ordersFailing = desc("orders_failing", "1 while nothing can be noted of orders.")
+)
+
+var all = []*prometheus.Desc{
+	okTotal, shedTotal, errorsTotal, leftTotal, triesTotal, active, held, poolSize, poolEjected, poolOut, poolDraining, readySet,
+	threshold, evacuated, applied, rejected, descriptors, places, ordersTotal, ordersFailing,
+}
+
+// statuses names how attempts end.
+var statuses = [...]string{
+	policy.OK: "ok", policy.AppError: "error", policy.Full: "turned_away", policy.Timeout: "timeout", policy.ConnectFailed: "connect",
+	policy.Reset: "reset", policy.Canceled: "canceled", policy.Moot: "unsent", policy.Rejected: "rejected",
+}
+
+// collector implements prometheus.Collector.
+type collector struct{ Source }
+
+// Describe is a method of prometheus.Collector.
+func (c collector) Describe(to chan<- *prometheus.Desc) {
+	for _, d := range all {
+		to <- d
+	}
+}
+
+// Collect is a method of prometheus.Collector.
+func (c collector) Collect(to chan<- prometheus.Metric) {
+	tell := func(kind prometheus.ValueType, d *prometheus.Desc, v float64, labels ...string) {
+		to <- prometheus.MustNewConstMetric(d, kind, v, labels...)
+	}
+	total := func(d *prometheus.Desc, v uint64, labels ...string) {
+		tell(prometheus.CounterValue, d, float64(v), labels...)
+	}
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) { tell(prometheus.GaugeValue, d, v, labels...) }
+	for class, n := range c.Counts() {
+		total(okTotal, n.Results[engine.Served], class)
+		total(shedTotal, n.Results[engine.Refused], class)
+		total(errorsTotal, n.Results[engine.Failed]+n.Results[engine.Dropped], class)
+		total(leftTotal, n.Withdrawn, class)
+		for status, v := range n.Attempts {
+			total(triesTotal, v, class, statuses[status])
+		}
+	}
+	s := c.State()
+	ejected, draining := 0, 0
+	for _, t := range s.Engine.Servers {
+		if t.Ejected > 0 {
+			ejected++
+		}
+		if t.ServerBelief.State == policy.Draining {
+			draining++
+		}
+	}
+	gauge(active, float64(s.Engine.Open))
+	gauge(held, float64(s.Engine.Beliefs.Held))
+	gauge(poolSize, float64(len(s.Engine.Servers)))
+	gauge(poolEjected, float64(ejected))
+	gauge(poolOut, float64(s.Out))
+	gauge(poolDraining, float64(draining))
+	gauge(readySet, float64(s.Engine.Beliefs.ReadySet))
+	gauge(threshold, s.Engine.Beliefs.Threshold)
+	gauge(evacuated, truth(s.Evacuated))
+	total(applied, uint64(s.Applied))
+	total(rejected, uint64(s.Rejected))
+	for i, of := range []string{"all", "clients"} {
+		gauge(descriptors, float64(s.Descriptors[i]), of)
+		gauge(places, float64(s.Places[i]), of)
+	}
+	if o := s.Orders; o != nil {
+		for _, r := range []struct {
+			result string
+			n      int64
+		}{
+			{"replayed", o.Replayed}, {"joined", o.Joined}, {"again", o.Again}, {"mismatched", o.Mismatched}, {"unknown", o.Unknown},
+			{"unwritable", o.Unwritable},
+		} {
+			total(ordersTotal, uint64(r.n), r.result)
+		}
+		gauge(ordersFailing, truth(o.Failing != nil))
+	}
+}
+
+func truth(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+// Handler returns what answers scrapes of s, its process included.
+func Handler(s Source) http.Handler {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collector{s}, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: 2, DisableCompression: true})
+}
--- /dev/null
+++ b/policy/daily_test.go
@@ -0,0 +1,163 @@
+package policy
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestRefusedBesideColdServers: of the requests that warm servers are too slow for, one that warms up gets a part of its
+// turns, one at a time, and never by an answer that could not be in time.
+func TestRefusedBesideColdServers(t *testing.T) {
+	now := time.Minute
+	try := func(out int, limit time.Duration) (sent, refused int) {
+		b, rec := start(t, testConfig(), 2)
+		cold := b.servers["s0"]
+		cold.Started, cold.reported, cold.queue, cold.out = now, true, 0, out
+		const requests = 4000
+		for i := range requests {
+			r := &request{Request: Request{ID: RequestID(i + 1), Expires: now + time.Second}, class: b.classes["safe"], most: 3,
+				limit: limit, useful: now + time.Second, end: now + time.Second}
+			b.requests[r.ID] = r
+			b.turnAway(now, r, rec)
+			cold.out = out // as if it were answered at once
+		}
+		for _, l := range rec.take("") {
+			switch {
+			case strings.HasSuffix(l, " s0"):
+				sent++
+			case strings.HasPrefix(l, "refuse"):
+				refused++
+			}
+		}
+		if sent+refused != requests {
+			t.Errorf("%d sent and %d refused of %d", sent, refused, requests)
+		}
+		return sent, refused
+	}
+	cfg := testConfig()
+	if sent, refused := try(0, time.Second); float64(sent) > cfg.ColdFrom*refusedCold/2*1.2*4000 || float64(sent) < cfg.ColdFrom*refusedCold/2*0.8*4000 || refused == 0 {
+		t.Errorf("%d of 4000 sent, want about %.0f", sent, cfg.ColdFrom*refusedCold/2*4000)
+	}
+	if sent, _ := try(1, time.Second); sent > 0 {
+		t.Errorf("%d sent beside one that is out", sent)
+	}
+	if sent, _ := try(0, -1); sent > 0 {
+		t.Errorf("%d sent though none could be in time", sent)
+	}
+}
+
+// TestUploadAndStream: a server works on a request from its last byte to the first of the answer; meanwhile and after nothing
+// of it is sent again, and its time counts from its last byte.
+func TestUploadAndStream(t *testing.T) {
+	b, rec := start(t, testConfig(), 3)
+	now := time.Second
+	b.Request(now, Request{ID: 1, Class: "safe", Expires: now + time.Second, Upload: true}, rec)
+	r := b.requests[1]
+	if len(r.attempts) == 0 { // held for its probes
+		for _, s := range r.probed {
+			b.Probed(now, ProbeResult{Server: s.ID, Load: &Load{Queue: 0, Inflight: -1}}, rec)
+		}
+	}
+	if len(r.attempts) != 1 {
+		t.Fatalf("%d attempts", len(r.attempts))
+	}
+	s := r.attempts[0].server
+	if s.out != 0 {
+		t.Error("the server works on what has not come")
+	}
+	rec.take("")
+	b.Timer(now+2*time.Second, token(1), rec)
+	if got := rec.take(""); len(got) > 0 || r.ended {
+		t.Errorf("its time ran out while it came: %v", got)
+	}
+	if b.maySend(now, r, b.ready[0]) || b.maySend(now, r, b.ready[1]) {
+		t.Error("a second attempt may be sent beside an upload")
+	}
+	now += 3 * time.Second
+	b.Uploaded(now, 1, rec)
+	if s.out != 1 || r.Expires != now+time.Second || r.attempts[0].sent != now {
+		t.Errorf("after its last byte: %d out, expires %v, sent %v", s.out, r.Expires, r.attempts[0].sent)
+	}
+	b.Streaming(now, 1, 0, rec)
+	if s.out != 0 {
+		t.Error("the server works on what it has answered")
+	}
+	rec.take("")
+	b.Timer(now+2*time.Second, token(1), rec)
+	if got := rec.take(""); len(got) > 0 {
+		t.Errorf("an answer that has begun was cut: %v", got)
+	}
+	b.Outcome(now+3*time.Second, Outcome{ID: 1, Server: s.ID, Status: Reset, Closed: true}, rec)
+	if s.out != 0 || len(b.requests) != 0 {
+		t.Errorf("%d out, %d requests kept", s.out, len(b.requests))
+	}
+}
+
+// TestSpent: what cannot be sent again is refused if it has not run, and has failed if it may have.
+func TestSpent(t *testing.T) {
+	for status, want := range map[Status]string{Full: "refuse 1", AppError: "fail 1"} {
+		b, rec := start(t, testConfig(), 3)
+		r := &request{Request: Request{ID: 1, Expires: time.Second}, class: b.classes["unsafe"], most: 3, useful: time.Second, end: time.Second}
+		b.requests[1] = r
+		b.send(0, r, b.set(0), rec)
+		rec.take("")
+		b.Outcome(0, Outcome{ID: 1, Server: r.attempts[0].server.ID, Status: status, Spent: true}, rec)
+		if got := rec.take(""); !slices.Contains(got, want) || slices.ContainsFunc(got, func(l string) bool { return strings.HasPrefix(l, "send") }) {
+			t.Errorf("%v: %v, want %s", status, got, want)
+		}
+	}
+}
+
+// TestReconfigure: what comes is of the new classes, what is open keeps its own, and a configuration that is out of range
+// changes nothing.
+func TestReconfigure(t *testing.T) {
+	b, rec := start(t, testConfig(), 3)
+	r := &request{Request: Request{ID: 1, Expires: time.Second}, class: b.classes["safe"], most: 3, useful: time.Second, end: time.Second}
+	b.requests[1] = r
+	next := testConfig()
+	next.MaxAttempts = 1
+	i := slices.IndexFunc(next.Classes, func(c Class) bool { return c.Name == "safe" })
+	next.Classes[i].Effect = Unsafe
+	bad := next
+	bad.MaxAttempts = 0
+	if err := b.Reconfigure(bad); err == nil || b.cfg.MaxAttempts != testConfig().MaxAttempts {
+		t.Errorf("no attempts at all: %v", err)
+	}
+	b.classes["safe"].usual = 7
+	if err := b.Reconfigure(next); err != nil {
+		t.Fatal(err)
+	}
+	if c := b.classes["safe"]; c.Effect != Unsafe || c.usual != 7 {
+		t.Errorf("the class is %+v", c)
+	}
+	if !b.maySend(0, r, b.ready[0]) || r.class.Effect != Safe {
+		t.Error("the open request goes by the new rules")
+	}
+	r.attempts = []attempt{{server: b.ready[1]}, {server: b.ready[2]}}
+	if !b.maySend(0, r, b.ready[0]) {
+		t.Error("the open request may not have its third attempt")
+	}
+	b.Request(0, Request{ID: 2, Class: "safe", Expires: time.Second}, rec)
+	if q := b.requests[2]; q != nil && (q.most != 1 || q.class.Effect != Unsafe) {
+		t.Errorf("a new request has %d attempts and %v", q.most, q.class.Effect)
+	}
+}
+
+// TestBackFromADrain: what a server failed at while it was to be left alone does not keep it out when it is back.
+func TestBackFromADrain(t *testing.T) {
+	b, rec := start(t, testConfig(), 3)
+	s := b.servers["s0"]
+	entry := s.Server
+	entry.State = Draining
+	b.Members(0, ListDelta, []Server{entry}, rec)
+	for range 5 {
+		b.failed(0, s, ConnectFailed)
+	}
+	entry.State = Ready
+	b.Members(time.Millisecond, ListDelta, []Server{entry}, rec)
+	if !slices.Contains(b.set(time.Millisecond), b.servers["s0"]) {
+		t.Error("it is left out")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -267,7 +267,7 @@
 			set = []*server{s} // a second draw could fall on one that is too slow
 		} else if s != nil {
 			if set = b.fitting(now, r, set); len(set) == 0 { // work that nobody awaits any more keeps queues long for all
-				b.finish(now, r, true, act)
+				b.turnAway(now, r, act)
 				return
 			}
 		}
@@ -470,14 +470,35 @@
 // coldTurn draws a place of the ready set, and returns the server there if it is cold, in proportion to
 // the least capacity it can have. An empty queue would make every probe round choose it; this way it
 // gets that part of what this sidecar sends a warm one, whatever its reports, and however many wait.
-func (b *Balancer) coldTurn(now Time) *server {
+func (b *Balancer) coldTurn(now Time, share float64) *server {
 	s := b.ready[b.rng.IntN(b.setSize)]
-	if w := b.warmth(now, s); w == 1 || s.ejected > now || b.rng.Float64() >= w {
+	if w := b.warmth(now, s); w == 1 || s.ejected > now || b.rng.Float64() >= share*w {
 		return nil
 	}
 	return s
 }
 
+// refusedCold is the part of its turns that a cold server gets of the requests that warm ones are too slow for. With
+// all of it, an overload with clients' retries would push over what has just started.
+const refusedCold = 0.5
+
+// turnAway refuses r unless a cold server has a turn that none of this sidecar's requests takes up. It guards against refusals
+// beside servers that warm up while a release of the fleet leaves the others overloaded: their turns come with what is
+// sent, of which there is less the more is refused.
+func (b *Balancer) turnAway(now Time, r *request, act Actions) {
+	if len(r.attempts) == 0 && b.setSize > 0 {
+		if s := b.coldTurn(now, refusedCold); s != nil && s.out == 0 && b.inTime(s, r.limit) && b.maySend(now, r, s) {
+			if r.patience > 0 {
+				r.patience = 0
+				b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+			}
+			b.start(now, r, s, act)
+			return
+		}
+	}
+	b.finish(now, r, true, act)
+}
+
 // send starts a further attempt of r if a legal one exists and reports whether it did, or whether
 // the request may still be held.
 func (b *Balancer) send(now Time, r *request, set []*server, act Actions) bool {
@@ -488,9 +509,15 @@
 	if s == nil {
 		return len(r.attempts) == 0 && len(b.ready) == 0 // hold until the list names a server
 	}
-	if c := b.coldTurn(now); c != nil && len(r.attempts) == 0 && b.maySend(now, r, c) {
+	if c := b.coldTurn(now, 1); c != nil && len(r.attempts) == 0 && b.maySend(now, r, c) {
 		s = c
 	}
+	b.start(now, r, s, act)
+	return true
+}
+
+// start sends an attempt of r to s.
+func (b *Balancer) start(now Time, r *request, s *server, act Actions) {
 	s.marked = false
 	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, depth: b.depth(s)}
 	r.attempts = append(r.attempts, a)
@@ -502,7 +529,6 @@
 	r.attempts[len(r.attempts)-1].works(!r.Upload)
 	b.sweep(now, act)
 	act.Send(r.ID, s.ID, r.end-now)
-	return true
 }
 
 // sweep hangs up connections that cost more to hold than to open anew. An open one costs
@@ -741,7 +767,7 @@
 	case now >= r.end:
 		b.finish(now, r, false, act)
 	case r.patience > 0 && now >= r.patience:
-		b.finish(now, r, true, act)
+		b.turnAway(now, r, act)
 	}
 }
 
