Hand on to a new version what the old one has learnt of delays and servers

Cause: a process that takes over in the middle of an overload knows of no delay, refuses nothing until the first answers are late, and then holds all servers for slow: upgrades and servers out by hand together lose far more than both by themselves.

Change: policy.Learned and Learn (the line of delay, slowness, ejections, traffic, tries; marks and reports are too old); the older process leaves them in the shared directory each second, the newer begins with them if they are sound and at most 5 s old.

--- a/cmd/quillfront/upgrade_test.go
+++ b/cmd/quillfront/upgrade_test.go
@@ -32,6 +32,26 @@
 	return resp.StatusCode
 }
 
+// figure returns a figure of s's, as it is written.
+func (s *process) figure(t *testing.T, name string) string {
+	t.Helper()
+	resp, err := http.Get("http://" + s.management + "/api/telemetry")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, value, ok := strings.Cut("\n"+string(text), "\n"+name+" ")
+	if !ok {
+		t.Fatalf("no figure %s", name)
+	}
+	value, _, _ = strings.Cut(value, "\n")
+	return value
+}
+
 // keep asks on one connection after the other until stop, each for as long as it lasts, and counts answers, and requests that
 // ended without one. No request is sent twice.
 func keep(addr string, stop <-chan struct{}, served, crossed *atomic.Int64) error {
@@ -134,6 +154,7 @@
 	if count("a") == 0 || count("b") == 0 {
 		t.Errorf("hits %v before", hits)
 	}
+	alone := s.figure(t, `svc_descriptors_most{of="clients"}`)
 	if got := s.operator(t, "POST", "/api/exclude/c"); got != http.StatusNotFound {
 		t.Errorf("an unknown server: %d", got)
 	}
@@ -152,6 +173,11 @@
 			t.Errorf("the old process: %v", err)
 		}
 		answered(200)
+		for end := time.Now().Add(20 * time.Second); newer.figure(t, `svc_descriptors_most{of="clients"}`) != alone; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("clients may have %s descriptors after the old process, and %s before", newer.figure(t, `svc_descriptors_most{of="clients"}`), alone)
+			}
+		}
 		if got := count("a"); got != before {
 			t.Errorf("%d requests to a server that is out", got-before)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,6 +107,10 @@
 		s.apply(s.dir.State())
 		s.beside(s.dir.Others())
 		if s.took = s.older.Load() > 0; s.took {
+			var l policy.Learned
+			if s.dir.Noted(&l, noteAge) {
+				s.engine.Learn(l)
+			}
 			s.engine.Ask() // what the older one was told counts as told to this one
 		}
 	}
@@ -186,7 +190,8 @@
 	case <-served: // the backlog is empty
 	case <-end.Done():
 	}
-	s.log.Info("drained", "load", s.engine.String(), "all_ended", s.server.Wait(end))
+	ended := s.server.Wait(end)
+	s.log.Info("drained", "load", s.engine.String(), "all_ended", ended)
 	s.server.CloseAll()
 	return nil
 }
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -19,10 +19,18 @@
 // platform gives it 6 s in all.
 const takeoverWait = 3 * time.Second
 
+const (
+	// noteEvery is how often a process leaves what it has learnt for the one that takes over.
+	noteEvery = time.Second
+	// noteAge is how old that may be: what is older was left before a stop.
+	noteAge = 5 * time.Second
+)
+
 // operate opens the operators' address and follows the other processes of the sidecar, until ctx ends.
 func (s *Sidecar) operate(ctx context.Context, helpers *sync.WaitGroup) error {
 	if s.dir != nil {
 		helpers.Go(func() { s.dir.Follow(ctx, s.apply, func(o handover.Others) { s.beside(o, nil) }) })
+		helpers.Go(func() { s.note(ctx) })
 	}
 	if s.cfg.Management == "" {
 		return nil
@@ -41,6 +49,27 @@
 	return nil
 }
 
+// note leaves what was learnt for the process that takes over, until there is one or ctx ends.
+func (s *Sidecar) note(ctx context.Context) {
+	tick := time.NewTicker(noteEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if s.newer.Load() > 0 { // it leaves its own
+			continue
+		}
+		if l, ok := s.engine.Learned(); ok {
+			if err := s.dir.Note(l); err != nil {
+				s.log.Warn("handover", "err", err)
+			}
+		}
+	}
+}
+
 // apply makes state what operators have asked for.
 func (s *Sidecar) apply(state handover.State) {
 	s.mu.Lock()
--- a/internal/engine/rules.go
+++ b/internal/engine/rules.go
@@ -66,3 +66,29 @@
 	})
 	return err
 }
+
+// learner is a module that can hand on what it has learnt.
+type learner interface {
+	Learned(policy.Time) policy.Learned
+	Learn(policy.Time, policy.Learned)
+}
+
+// Learned returns what the module has learnt, if it can tell.
+func (e *Engine) Learned() (l policy.Learned, ok bool) {
+	e.event(func(now policy.Time) {
+		var m learner
+		if m, ok = e.module.(learner); ok {
+			l = m.Learned(now)
+		}
+	})
+	return l, ok
+}
+
+// Learn has the module begin with what another one had learnt.
+func (e *Engine) Learn(l policy.Learned) {
+	e.event(func(now policy.Time) {
+		if m, ok := e.module.(learner); ok {
+			m.Learn(now, l)
+		}
+	})
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -27,6 +27,7 @@
 
 	stateName  = "state.json"
 	lockName   = "lock"
+	noteName   = "learned.json"
 	liveSuffix = ".live"
 )
 
@@ -196,16 +197,41 @@
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	name := filepath.Join(d.path, stateName)
-	if err := os.WriteFile(name+".new", text, 0o600); err != nil {
+	return d.replace(stateName, text)
+}
+
+func (d *Dir) replace(name string, text []byte) error {
+	path := filepath.Join(d.path, name)
+	fresh := fmt.Sprintf("%s.%d.new", path, os.Getpid())
+	if err := os.WriteFile(fresh, text, 0o600); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	if err := os.Rename(name+".new", name); err != nil {
+	if err := os.Rename(fresh, path); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
 	return nil
 }
 
+// Note leaves what may help a process that takes over. It is replaced whole.
+func (d *Dir) Note(v any) error {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	return d.replace(noteName, text)
+}
+
+// Noted reads into v what another process has left within the last age, and reports whether there was such.
+func (d *Dir) Noted(v any, age time.Duration) bool {
+	name := filepath.Join(d.path, noteName)
+	info, err := os.Stat(name)
+	if err != nil || time.Since(info.ModTime()).Abs() > age || info.Size() > mostState {
+		return false
+	}
+	text, err := os.ReadFile(name)
+	return err == nil && json.Unmarshal(text, v) == nil
+}
+
 // Others counts the other processes that live.
 type Others struct{ Older, Newer int }
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -113,3 +113,32 @@
 		t.Error("a file is taken for a directory")
 	}
 }
+
+// TestNote: what one process leaves another finds, unless it is old or cut.
+func TestNote(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "shared")
+	older, newer := open(t, path), open(t, path)
+	var got []int
+	if newer.Noted(&got, time.Hour) {
+		t.Error("there is something at the start")
+	}
+	if err := older.Note([]int{1, 2}); err != nil {
+		t.Fatal(err)
+	}
+	if !newer.Noted(&got, time.Hour) || len(got) != 2 {
+		t.Errorf("%v", got)
+	}
+	long := time.Now().Add(-time.Hour)
+	if err := os.Chtimes(filepath.Join(path, noteName), long, long); err != nil {
+		t.Fatal(err)
+	}
+	if newer.Noted(&got, time.Minute) {
+		t.Error("what is old is taken")
+	}
+	if err := os.WriteFile(filepath.Join(path, noteName), []byte("[1,"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if newer.Noted(&got, time.Hour) {
+		t.Error("half of it is taken")
+	}
+}
--- a/policy/daily_test.go
+++ b/policy/daily_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -161,3 +162,27 @@
 		t.Error("it is left out")
 	}
 }
+
+// TestLearned: what one has learnt another begins with, and what cannot be is left out.
+func TestLearned(t *testing.T) {
+	a, _ := start(t, testConfig(), 3)
+	a.delay = delayModel{2, 5e7, 3, 1e7}
+	a.busy, a.gap, a.mostSet = 0.3, 3e6, 20
+	a.servers["s1"].slowness, a.servers["s2"].ejected = 2, 3*time.Second
+	a.classes["safe"].usual, a.classes["safe"].votes = 300*time.Millisecond, minVotes
+	b, _ := start(t, testConfig(), 3)
+	b.Learn(time.Minute, a.Learned(time.Second))
+	if b.delay != a.delay || b.busy != 0.3 || b.gap != 3e6 || b.mostSet != 20 || b.servers["s1"].slowness != 2 ||
+		b.servers["s2"].ejected != time.Minute+2*time.Second || b.classes["safe"].usual != 300*time.Millisecond {
+		t.Errorf("%+v, busy %v, gap %v, set %d", b.delay, b.busy, b.gap, b.mostSet)
+	}
+	c, _ := start(t, testConfig(), 3)
+	c.Learn(time.Minute, Learned{
+		Queue: math.NaN(), Delay: -1, Busy: math.Inf(1), Gap: -1, MostSet: 1 << 40, Slowness: map[ServerID]float64{"s0": math.Inf(1), "x": 1},
+		Ejected: map[ServerID]time.Duration{"s0": 1 << 60}, Usual: map[string]time.Duration{"safe": 1 << 60},
+	})
+	if c.delay != (delayModel{}) || c.busy != 1 || c.gap != float64(time.Second) || c.mostSet > 1000 || c.servers["s0"].slowness != 1 ||
+		c.servers["s0"].ejected > time.Minute+c.cfg.Ramp || c.classes["safe"].votes != 0 {
+		t.Errorf("what cannot be was learnt: %+v, busy %v, gap %v, set %d", c.delay, c.busy, c.gap, c.mostSet)
+	}
+}
