Open the store by hints, set room ahead for a segment, and relieve loaded servers by cold ones

Change: store/hint.go, Options.Hints (on for orders); fallocate as a segment begins, and its end as it closes. policy.relief: a cold server takes what warm ones are too slow for while it has less than its share of what stands at the least loaded of them.

Measured: store tests with cuts at every byte, by hints and with room ahead; TestRefusedBesideColdServers.

--- a/internal/orders/config.go
+++ b/internal/orders/config.go
@@ -106,7 +106,7 @@
 	}
 	o := store.Options{
 		SegmentBytes: min(4<<20, c.MostBytes/4), MostBytes: c.MostBytes, MostKeys: c.MostOrders, Retention: c.Retention,
-		CompactRate: compactRate, Grace: grace,
+		CompactRate: compactRate, Grace: grace, Hints: true,
 	}
 	if c.Durability == Batched {
 		o.SyncEvery = c.SyncEvery
--- a/policy/daily_test.go
+++ b/policy/daily_test.go
@@ -12,8 +12,9 @@
 // turns, one at a time, and never by an answer that could not be in time.
 func TestRefusedBesideColdServers(t *testing.T) {
 	now := time.Minute
-	try := func(out int, limit time.Duration) (sent, refused int) {
+	try := func(out, busy int, limit time.Duration) (sent, refused int) {
 		b, rec := start(t, testConfig(), 2)
+		b.servers["s1"].out = busy
 		cold := b.servers["s0"]
 		cold.Started, cold.reported, cold.queue, cold.out = now, true, 0, out
 		const requests = 4000
@@ -38,13 +39,20 @@
 		return sent, refused
 	}
 	cfg := testConfig()
-	if sent, refused := try(0, time.Second); float64(sent) > cfg.ColdFrom*refusedCold/2*1.2*4000 || float64(sent) < cfg.ColdFrom*refusedCold/2*0.8*4000 || refused == 0 {
+	if sent, refused := try(0, 0, time.Second); float64(sent) > cfg.ColdFrom*refusedCold/2*1.2*4000 || float64(sent) < cfg.ColdFrom*refusedCold/2*0.8*4000 || refused == 0 {
 		t.Errorf("%d of 4000 sent, want about %.0f", sent, cfg.ColdFrom*refusedCold/2*4000)
 	}
-	if sent, _ := try(1, time.Second); sent > 0 {
+	if sent, _ := try(1, 0, time.Second); sent > 0 {
 		t.Errorf("%d sent beside one that is out", sent)
 	}
-	if sent, _ := try(0, -1); sent > 0 {
+	// With 10 at the warm one, 3 may be at one that has 0.3 of its capacity.
+	if sent, _ := try(2, 10, time.Minute); sent < 1500 {
+		t.Errorf("%d of 4000 sent beside 2, want each turn", sent)
+	}
+	if sent, _ := try(3, 10, time.Minute); sent > 0 {
+		t.Errorf("%d sent beside 3", sent)
+	}
+	if sent, _ := try(0, 0, -1); sent > 0 {
 		t.Errorf("%d sent though none could be in time", sent)
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -470,31 +470,53 @@
 // coldTurn draws a place of the ready set, and returns the server there if it is cold, in proportion to
 // the least capacity it can have. An empty queue would make every probe round choose it; this way it
 // gets that part of what this sidecar sends a warm one, whatever its reports, and however many wait.
-func (b *Balancer) coldTurn(now Time, share float64) *server {
+func (b *Balancer) coldTurn(now Time) *server {
 	s := b.ready[b.rng.IntN(b.setSize)]
-	if w := b.warmth(now, s); w == 1 || s.ejected > now || b.rng.Float64() >= share*w {
+	if w := b.warmth(now, s); w == 1 || s.ejected > now || b.rng.Float64() >= w {
 		return nil
 	}
 	return s
 }
 
-// refusedCold is the part of its turns that a cold server gets of the requests that warm ones are too slow for. With
-// all of it, an overload with clients' retries would push over what has just started.
+// refusedCold is the part of its turns that a cold server gets of the requests that warm ones are too slow for, where this
+// sidecar sends too little to go by. With all of it, an overload with clients' retries would push over what has just started.
 const refusedCold = 0.5
 
-// turnAway refuses r unless a cold server has a turn that none of this sidecar's requests takes up. It guards against refusals
-// beside servers that warm up while a release of the fleet leaves the others overloaded: their turns come with what is
-// sent, of which there is less the more is refused.
+// relief draws a place of the ready set, and returns the server there if it is cold and may take one of the requests that
+// warm ones are too slow for: while it has less of this sidecar's requests than the least loaded of those, in proportion to its
+// least capacity. What stands at it is bounded so by its share of what stands at them, and what it is sent by what it
+// answers, however many are refused. It guards against refusals beside servers that warm up while a release of the fleet
+// leaves the others overloaded: their turns come with what is sent, of which there is less the more is refused.
+func (b *Balancer) relief(now Time) *server {
+	if b.setSize == 0 {
+		return nil
+	}
+	s := b.ready[b.rng.IntN(b.setSize)]
+	w := b.warmth(now, s)
+	if w == 1 || s.ejected > now {
+		return nil
+	}
+	least := math.MaxInt
+	for _, t := range b.ready {
+		if b.warmth(now, t) == 1 && t.ejected <= now {
+			least = min(least, t.out)
+		}
+	}
+	if least < math.MaxInt && float64(s.out+1) <= w*float64(least) || s.out == 0 && b.rng.Float64() < refusedCold*w {
+		return s
+	}
+	return nil
+}
+
+// turnAway refuses r unless a cold server can relieve the others of it.
 func (b *Balancer) turnAway(now Time, r *request, act Actions) {
-	if len(r.attempts) == 0 && b.setSize > 0 {
-		if s := b.coldTurn(now, refusedCold); s != nil && s.out == 0 && b.inTime(s, r.limit) && b.maySend(now, r, s) {
-			if r.patience > 0 {
-				r.patience = 0
-				b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
-			}
-			b.start(now, r, s, act)
-			return
+	if s := b.relief(now); s != nil && len(r.attempts) == 0 && b.inTime(s, r.limit) && b.maySend(now, r, s) {
+		if r.patience > 0 {
+			r.patience = 0
+			b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
 		}
+		b.start(now, r, s, act)
+		return
 	}
 	b.finish(now, r, true, act)
 }
@@ -509,7 +531,7 @@
 	if s == nil {
 		return len(r.attempts) == 0 && len(b.ready) == 0 // hold until the list names a server
 	}
-	if c := b.coldTurn(now, 1); c != nil && len(r.attempts) == 0 && b.maySend(now, r, c) {
+	if c := b.coldTurn(now); c != nil && len(r.attempts) == 0 && b.maySend(now, r, c) {
 		s = c
 	}
 	b.start(now, r, s, act)
--- a/store/compact.go
+++ b/store/compact.go
@@ -128,6 +128,7 @@
 	if err := s.fs.Remove(g.name); err != nil && !notExist(err) {
 		return fmt.Errorf("store: %w", err)
 	}
+	s.fs.Remove(hintName(g)) // one that stays is taken away by the next Open
 	s.segments = s.segments[1:]
 	return nil
 }
--- a/store/fs.go
+++ b/store/fs.go
@@ -33,6 +33,14 @@
 	Sync() error
 }
 
+// allocator is a File that can set room aside ahead of its writes, so that they need none and its length stays.
+type allocator interface {
+	// Allocate makes the file size bytes long: what is not written is zeros. It fails if there is no room.
+	Allocate(size int64) error
+	// Truncate ends the file behind its first size bytes.
+	Truncate(size int64) error
+}
+
 // Reader is a file that is read.
 type Reader interface {
 	io.ReaderAt
@@ -62,6 +70,8 @@
 
 func (w writer) Sync() error { return datasync(w.File) }
 
+func (w writer) Allocate(size int64) error { return allocate(w.File, size) }
+
 func (d dir) Append(name string, size int64) (File, error) {
 	f, err := os.OpenFile(d.path(name), os.O_WRONLY, 0)
 	if err != nil {
--- a/store/memfs_test.go
+++ b/store/memfs_test.go
@@ -73,8 +73,43 @@
 }
 
 type memWriter struct {
-	m *memFS
-	f *memFile
+	m  *memFS
+	f  *memFile
+	at int
+}
+
+// put writes behind what was written before, over the zeros that were allocated. What it overwrites is not durable any more.
+func (w *memWriter) put(p []byte) {
+	w.f.synced = min(w.f.synced, w.at)
+	n := copy(w.f.data[w.at:], p)
+	w.f.data = append(w.f.data, p[n:]...)
+	w.at += len(p)
+}
+
+func (w *memWriter) Allocate(size int64) error {
+	w.m.mu.Lock()
+	defer w.m.mu.Unlock()
+	if w.m.step(1) < 1 {
+		return errCut
+	}
+	if w.m.full {
+		return errRoom
+	}
+	if n := int(size) - len(w.f.data); n > 0 {
+		w.f.data = append(w.f.data, make([]byte, n)...)
+	}
+	return nil
+}
+
+func (w *memWriter) Truncate(size int64) error {
+	w.m.mu.Lock()
+	defer w.m.mu.Unlock()
+	if w.m.step(1) < 1 {
+		return errCut
+	}
+	w.f.data = w.f.data[:size]
+	w.f.synced = min(w.f.synced, len(w.f.data))
+	return nil
 }
 
 func (m *memFS) Create(name string) (File, error) {
@@ -91,7 +126,7 @@
 	}
 	f := &memFile{}
 	m.files[name] = f
-	return &memWriter{m, f}, nil
+	return &memWriter{m, f, len(f.data)}, nil
 }
 
 func (m *memFS) Append(name string, size int64) (File, error) {
@@ -106,7 +141,7 @@
 	}
 	f.data = f.data[:size]
 	f.synced = min(f.synced, len(f.data))
-	return &memWriter{m, f}, nil
+	return &memWriter{m, f, len(f.data)}, nil
 }
 
 func (w *memWriter) Write(p []byte) (int, error) {
@@ -114,11 +149,11 @@
 	defer w.m.mu.Unlock()
 	if w.m.full {
 		half := len(p) / 2
-		w.f.data = append(w.f.data, p[:half]...)
+		w.put(p[:half])
 		return half, errRoom
 	}
 	n := w.m.step(len(p))
-	w.f.data = append(w.f.data, p[:n]...)
+	w.put(p[:n])
 	if n < len(p) {
 		return n, errCut
 	}
--- a/store/model_test.go
+++ b/store/model_test.go
@@ -14,8 +14,8 @@
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		disk, clk := newMemFS(), newClock()
-		options := Options{SegmentBytes: 1 << 10, Now: clk.Now}
-		s, err := Open(disk, options)
+		options := Options{SegmentBytes: 1 << 10, Now: clk.Now, Hints: true}
+		s, err := prepare(disk, options)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -38,7 +38,7 @@
 			t.Fatalf("the state is none from %d to %d: %v", from, len(states)-1, got)
 		}
 		reopen := func() map[string]string {
-			if s, err = Open(disk, options); err != nil {
+			if s, err = prepare(disk, options); err != nil {
 				t.Fatal(err)
 			}
 			return contentsOf(t, s)
@@ -65,6 +65,11 @@
 					t.Fatal(err)
 				}
 			},
+			"hints": func(t *rapid.T) {
+				if err := s.WriteHints(); err != nil {
+					t.Fatal(err)
+				}
+			},
 			"clock": func(t *rapid.T) {
 				clk.set(clk.Now().Add(time.Duration(rapid.IntRange(-3600, 3600).Draw(t, "s")) * time.Second))
 			},
--- a/store/store.go
+++ b/store/store.go
@@ -30,6 +30,7 @@
 	Retention    time.Duration    // how long a record is kept; 24 h
 	Grace        time.Duration    // how long after Open nothing expires, in case the clock was wrong when the machine started
 	CompactRate  int64            // bytes a second that compaction may copy beside writes; 0: only Compact compacts
+	Hints        bool             // write a hint for each closed segment, and open by them: values are then checked as they are read
 	SyncEvery    time.Duration    // Buffered writes become durable about that often; 0: when a Synced one comes
 	Now          func() time.Time // time.Now
 }
@@ -90,6 +91,8 @@
 	stop       chan struct{} // ends work
 	work       sync.WaitGroup
 	compacting sync.Mutex // held by the one that compacts
+	hinting    sync.Mutex // held by the one that writes hints
+	sealed     chan struct{}
 
 	syncing bool       // one syncs, without mu
 	synced  *sync.Cond // told when it has
@@ -103,6 +106,8 @@
 	size  int64
 	live  int64 // bytes of records that are the latest of their keys
 	last  int64 // time of its latest record
+
+	hinted bool // it has its hint, or is not to have one
 }
 
 // id stands for a key in the index, so that its size does not hang on the keys'. Its seeds are drawn by each process: nobody can
@@ -130,6 +135,25 @@
 // Open opens the store in fs, or makes one. A directory that another process has open gives ErrLocked, files of a newer
 // version ErrVersion, and durable bytes that have changed a *CorruptError; in all cases nothing is changed.
 func Open(fs FS, o Options) (*Store, error) {
+	s, err := prepare(fs, o)
+	if err != nil {
+		return nil, err
+	}
+	if s.o.Hints {
+		s.work.Go(s.hinter)
+		s.tellSealed()
+	}
+	if s.o.SyncEvery > 0 {
+		s.work.Go(s.batch)
+	}
+	if s.o.CompactRate > 0 {
+		s.work.Go(s.compactor)
+	}
+	return s, nil
+}
+
+// prepare opens a store that does nothing by itself.
+func prepare(fs FS, o Options) (*Store, error) {
 	if o.SegmentBytes == 0 {
 		o.SegmentBytes = 4 << 20
 	}
@@ -152,22 +176,23 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{fs: fs, o: o, opened: o.Now(), lock: lock, index: map[id]place{}, seeds: [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()}}
+	s := &Store{fs: fs, o: o, opened: o.Now(), lock: lock, index: map[id]place{}, seeds: [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()}, sealed: make(chan struct{}, 1), stop: make(chan struct{})}
 	s.synced = sync.NewCond(&s.mu)
 	if err := s.recover(); err != nil {
 		lock.Close()
 		return nil, err
 	}
-	s.stop = make(chan struct{})
-	if o.SyncEvery > 0 {
-		s.work.Go(s.batch)
-	}
-	if o.CompactRate > 0 {
-		s.work.Go(s.compactor)
-	}
 	return s, nil
 }
 
+// tellSealed wakes the hinter, if there is one.
+func (s *Store) tellSealed() {
+	select {
+	case s.sealed <- struct{}{}:
+	default:
+	}
+}
+
 // batch makes durable what was written, every now and then. A sync that fails shows in Err, and at the next write.
 func (s *Store) batch() {
 	tick := time.NewTicker(s.o.SyncEvery)
@@ -194,7 +219,11 @@
 	if err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
+	hints := map[string]bool{}
 	for _, name := range names {
+		if number, ok := strings.CutSuffix(name, hintSuffix); ok {
+			hints[number+suffix] = true
+		}
 		number, ok := strings.CutSuffix(name, suffix)
 		if !ok {
 			continue
@@ -205,6 +234,12 @@
 		}
 		s.segments = append(s.segments, &segment{name: name, first: first})
 	}
+	for _, g := range s.segments {
+		delete(hints, g.name)
+	}
+	for name := range hints { // their segments were taken away, and they were not
+		s.fs.Remove(strings.TrimSuffix(name, suffix) + hintSuffix)
+	}
 	for i := 0; i < len(s.segments); i++ {
 		g := s.segments[i]
 		next := uint64(math.MaxUint64)
@@ -256,6 +291,12 @@
 // not even its header is there. What stands at and behind that record was given up after a failure and written anew.
 func (s *Store) load(g *segment, next uint64) (end int64, err error) {
 	last := next == math.MaxUint64
+	if s.o.Hints && !last {
+		if end, err := s.loadHint(g, next); err == nil {
+			g.hinted, s.seq = true, next-1
+			return end, nil
+		}
+	}
 	f, err := s.fs.Open(g.name)
 	if err != nil {
 		return 0, fmt.Errorf("store: %w", err)
@@ -307,7 +348,11 @@
 // anyRecord reports whether a whole record with a sequence of at least least stands anywhere in b that says that what
 // was before it had been durable. Such a record follows a bit that has flipped, never a cut.
 func anyRecord(b []byte, least uint64) bool {
-	for i := 0; i+recordHead <= len(b); i++ {
+	end := len(b)
+	for end > 0 && b[end-1] == 0 { // none begins in what is all zeros
+		end--
+	}
+	for i := 0; i < end && i+recordHead <= len(b); i++ {
 		if r, err := parse(b[i:]); err == nil && r.seq >= least && r.durable+1 >= least {
 			return true
 		}
@@ -317,17 +362,22 @@
 
 // apply notes a record that lies in g at offset.
 func (s *Store) apply(r record, g *segment, offset int) {
-	s.at, g.last = max(s.at, r.at), max(g.last, r.at)
-	key := s.id(r.key)
+	s.note(hinted{r.kind, r.size(), r.at, r.written(), r.key}, g, offset)
+}
+
+// note notes what h says of a record that lies in g at offset.
+func (s *Store) note(h hinted, g *segment, offset int) {
+	s.at, g.last = max(s.at, h.at), max(g.last, h.at)
+	key := s.id(h.key)
 	if old, ok := s.index[key]; ok {
 		old.in.live -= int64(old.size)
 	}
-	if r.kind == remove {
+	if h.kind == remove {
 		delete(s.index, key)
 		return
 	}
-	s.index[key] = place{g, r.written(), uint32(offset), uint32(r.size())}
-	g.live += int64(r.size())
+	s.index[key] = place{g, h.written, uint32(offset), uint32(h.size)}
+	g.live += int64(h.size)
 }
 
 // Put writes a value under a key.
@@ -406,6 +456,9 @@
 			return nil, fmt.Errorf("store: %w", err)
 		}
 		s.durable, s.pending = s.seq, s.pending[:0]
+		if a, ok := s.out.(allocator); ok {
+			a.Truncate(g.size) // else zeros stay: they are never read
+		}
 		s.out.Close()
 		s.out = nil
 	}
@@ -427,7 +480,15 @@
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	b := append(appendHeader(nil, first), s.pending...)
-	if _, err = out.Write(b); err == nil {
+	// Guards against writes that wait for the file system's journal: a file whose length stays needs no more of it. The zeros
+	// behind the records are a cut to whoever reads them.
+	if a, ok := out.(allocator); ok {
+		err = a.Allocate(s.o.SegmentBytes)
+	}
+	if err == nil {
+		_, err = out.Write(b)
+	}
+	if err == nil {
 		if err = out.Sync(); err == nil {
 			err = s.fs.SyncDir()
 		}
@@ -447,6 +508,7 @@
 	}
 	g.size = int64(len(b))
 	s.segments, s.out, s.pending, s.durable = append(s.segments, g), out, nil, s.seq
+	s.tellSealed()
 	return g, nil
 }
 
@@ -522,6 +584,7 @@
 		if s.fs.Remove(g.name) != nil {
 			return // it is met again with the next write
 		}
+		s.fs.Remove(hintName(g)) // one that stays is taken away by the next Open
 		s.segments = s.segments[1:]
 		for key, p := range s.index {
 			if p.in == g {
@@ -661,6 +724,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.out != nil {
+		if a, ok := s.out.(allocator); ok {
+			a.Truncate(s.segments[len(s.segments)-1].size)
+		}
 		err = errors.Join(err, s.out.Close())
 	}
 	return errors.Join(err, s.lock.Close())
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -69,6 +70,7 @@
 	d          Durability
 	sync       bool // only a Sync
 	compact    bool // only a Compact
+	hint       bool // only a WriteHints
 }
 
 // workload draws calls over some keys, which fill several segments.
@@ -80,6 +82,8 @@
 		switch rng.IntN(14) {
 		case 10:
 			s.compact = true
+		case 11, 12:
+			s.hint = true
 		case 0:
 			s.remove = true
 		case 1:
@@ -104,6 +108,8 @@
 			err = s.Sync()
 		case c.compact:
 			err = s.Compact(context.Background())
+		case c.hint:
+			s.WriteHints() // beside writes nobody hears of its errors either
 		case c.remove:
 			delete(state, c.key)
 			err = s.Delete([]byte(c.key), c.d)
@@ -122,6 +128,12 @@
 	return states, durable
 }
 
+// byHints opens by hints, and leaves the writing of them to the workload.
+func byHints(t testing.TB, fs FS) (*Store, error) {
+	t.Helper()
+	return prepare(fs, Options{SegmentBytes: 1 << 10, Now: newClock().Now, Hints: true})
+}
+
 // TestPowerCut cuts the power after every byte written and every call made, for a workload over several segments, and
 // with each cut finds the disk in several ways. The store opens to a state that it has had, not before the last that was
 // durable, and can be written to; cut once more at once it is still there.
@@ -135,7 +147,7 @@
 	for n := 0; ; n++ {
 		m := newMemFS()
 		m.steps = n
-		s, err := Open(m, Options{SegmentBytes: 1 << 10, Now: newClock().Now})
+		s, err := byHints(t, m)
 		states, durable := []map[string]string{{}}, 0
 		if err == nil {
 			states, durable = play(s, steps)
@@ -146,7 +158,7 @@
 		}
 		for _, w := range ways {
 			disk := m.after(w.part, w.zeros, w.names)
-			s, err := Open(disk, Options{SegmentBytes: 1 << 10, Now: newClock().Now})
+			s, err := byHints(t, disk)
 			if err != nil {
 				t.Fatalf("cut after %d, %+v: %v", n, w, err)
 			}
@@ -164,7 +176,11 @@
 				t.Fatalf("cut after %d, %+v: %v", n, w, err)
 			}
 			got["after"] = "the cut"
-			if again := contents(t, open(t, disk.after(0, false, false))); !maps.Equal(got, again) {
+			once, err := byHints(t, disk.after(0, false, false))
+			if err != nil {
+				t.Fatalf("cut after %d, %+v, and again: %v", n, w, err)
+			}
+			if again := contents(t, once); !maps.Equal(got, again) {
 				t.Fatalf("cut after %d, %+v, and again: %v, want %v", n, w, again, got)
 			}
 		}
@@ -220,6 +236,93 @@
 	}
 }
 
+// TestHints: a store that is opened by hints is what it is without, whatever has become of the hints; a flip in a segment that
+// was not read is found when its record is, and those of segments that are gone go too.
+func TestHints(t *testing.T) {
+	m := newMemFS()
+	s := open(t, m)
+	states, _ := play(s, slices.DeleteFunc(workload(7, 120), func(c step) bool { return c.compact }))
+	if err := s.WriteHints(); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	want := states[len(states)-1]
+	names := func(m *memFS, ending string) (list []string) {
+		for name := range m.files {
+			if strings.HasSuffix(name, ending) {
+				list = append(list, name)
+			}
+		}
+		slices.Sort(list)
+		return list
+	}
+	hints, segments := names(m, hintSuffix), names(m, suffix)
+	if len(hints) < 2 || len(hints) != len(segments)-1 {
+		t.Fatalf("hints %v of %v", hints, segments)
+	}
+	for _, name := range hints {
+		for i := range m.files[name].data {
+			for _, cut := range []bool{false, true} {
+				disk := m.after(1, false, true)
+				if f := disk.files[name]; cut {
+					f.data = f.data[:i]
+				} else {
+					f.data[i] ^= 1 << (i % 8)
+				}
+				s, err := byHints(t, disk)
+				if err != nil {
+					t.Fatalf("%s changed at %d, cut %v: %v", name, i, cut, err)
+				}
+				if got := contents(t, s); !maps.Equal(got, want) {
+					t.Fatalf("%s changed at %d, cut %v: %v, want %v", name, i, cut, got, want)
+				}
+			}
+		}
+	}
+	found, sealed := 0, segments[len(segments)-2]
+	for i := range m.files[sealed].data {
+		disk := m.after(1, false, true)
+		disk.files[sealed].data[i] ^= 1 << (i % 8)
+		s, err := byHints(t, disk)
+		if err != nil {
+			t.Fatalf("flip at %d: %v", i, err)
+		}
+		for key := range want {
+			value, _, ok, err := s.Get([]byte(key))
+			var corrupt *CorruptError
+			if errors.As(err, &corrupt) && corrupt.File == sealed {
+				found++
+			} else if err != nil || !ok || string(value) != want[key] {
+				t.Errorf("flip at %d: %s is %q, %v, %v", i, key, value, ok, err)
+			}
+		}
+	}
+	if found == 0 {
+		t.Error("no flip was found")
+	}
+	disk := m.after(1, false, true)
+	s, err := byHints(t, disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Compact(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if left := names(disk, hintSuffix); len(left) > 0 {
+		t.Errorf("%v are left", left)
+	}
+	orphan := m.after(1, false, true)
+	orphan.files["00000000000000099999.hint"] = &memFile{}
+	if _, err := byHints(t, orphan); err != nil || len(names(orphan, "99999.hint")) > 0 {
+		t.Errorf("a hint without a segment stays, or %v", err)
+	}
+}
+
 // TestFailedSync: what a failed sync left unsure is not claimed durable, and is so once writing works again.
 func TestFailedSync(t *testing.T) {
 	m := newMemFS()
@@ -465,6 +568,68 @@
 	})
 }
 
+// TestRoomAhead: a segment's length stays while it is written, ends behind its last record when the store closes, and a disk
+// without room for it is full at once.
+func TestRoomAhead(t *testing.T) {
+	m := newMemFS()
+	s := open(t, m)
+	for i := range 3 {
+		if err := s.Put([]byte{'a' + byte(i)}, []byte("value"), Synced); err != nil {
+			t.Fatal(err)
+		}
+		if n := len(m.files[segmentName(1)].data); n != 1<<10 {
+			t.Errorf("%d bytes after %d writes", n, i+1)
+		}
+	}
+	if got := contents(t, open(t, m.after(0, true, false))); len(got) != 3 {
+		t.Errorf("after a cut: %v", got)
+	}
+	size := s.Stats().Bytes
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(m.files[segmentName(1)].data); int64(n) != size {
+		t.Errorf("%d bytes once it is closed, want %d", n, size)
+	}
+	s = open(t, m)
+	m.full = true
+	if err := s.Put([]byte("d"), []byte(strings.Repeat("x", 1<<10)), Buffered); !errors.Is(err, errRoom) {
+		t.Errorf("no room for a segment: %v", err)
+	}
+	m.full = false
+	if err := s.Put([]byte("d"), []byte("value"), Synced); err != nil {
+		t.Errorf("once there is: %v", err)
+	}
+}
+
+// FuzzHint: whatever stands in a hint is passed over, or tells of records that fill its segment.
+func FuzzHint(f *testing.F) {
+	m := newMemFS()
+	s := open(f, m)
+	play(s, workload(7, 60))
+	s.WriteHints()
+	for name, file := range m.files {
+		if strings.HasSuffix(name, hintSuffix) {
+			f.Add(file.data)
+		}
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if len(b) >= 4 { // past the checksum, which would stop nearly all
+			binary.LittleEndian.PutUint32(b[len(b)-4:], crc32.Checksum(b[:len(b)-4], castagnoli))
+		}
+		next := headerSize
+		end, err := parseHint(b, 1, 9, 1<<20, func(h hinted, offset int) {
+			if offset != next || len(h.key) == 0 {
+				t.Errorf("a record of %q at %d, want %d", h.key, offset, next)
+			}
+			next += h.size
+		})
+		if err == nil && (end != int64(next) || end > 1<<20) {
+			t.Errorf("end %d, and the records end at %d", end, next)
+		}
+	})
+}
+
 // FuzzRecover: whatever stands in a segment, the store opens or says what is wrong, and does not change its mind.
 func FuzzRecover(f *testing.F) {
 	m := newMemFS()
@@ -500,7 +665,7 @@
 		if err := s.Put([]byte(k), []byte("value"), Synced); err != nil {
 			t.Fatal(err)
 		}
-		ends = append(ends, len(m.files[segmentName(1)].data))
+		ends = append(ends, int(s.Stats().Bytes))
 	}
 	flipped := func(at int) (*Store, error) {
 		disk := m.after(1, false, true)
