Watch sites: one that fails takes less, one that was dark returns by degrees

Need: if a site goes dark all lands on the other, and when it comes back a rush flattens it; the list lags and knows only whether processes run.

Change: package sites (no clock, no I/O): evidence by server, four states with hysteresis, shares, relapses, own link, a bound of changes for the better, bounded spill by worth (which nothing asks yet). policy.SetShares has a site's servers count as cold by its share; the engine feeds and asks it; [sites] in the operator's file, off in the line run; shares and states at the operators' address, a log line a transition.

TestLossOfASite on loopback with errors, resets and silence.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -13,17 +13,20 @@
 
 	"quillfront/internal/orders"
 	"quillfront/routes"
+	"quillfront/sites"
 )
 
 // Operator is the operator's own file: what the platform knows nothing of. A part that the file lacks is off.
 type Operator struct {
 	Store  *orders.Config
+	Sites  *sites.Config
 	Routes []routes.Route // checked against each other
 }
 
 // operatorFile is the file as it stands.
 type operatorFile struct {
 	Store  *storeTable  `toml:"store"`
+	Sites  *sitesTable  `toml:"sites"`
 	Routes []routeTable `toml:"routes"`
 }
 
@@ -37,6 +40,19 @@
 	MostOrders       int                 `toml:"most_orders"`
 }
 
+type sitesTable struct {
+	Prefer    []string `toml:"prefer"`
+	Clear     float64  `toml:"clear"`
+	Doubt     float64  `toml:"doubt"`
+	Dark      float64  `toml:"dark"`
+	Memory    duration `toml:"memory"`
+	Hold      duration `toml:"hold"`
+	First     float64  `toml:"first"`
+	Climb     duration `toml:"climb"`
+	MostClimb duration `toml:"most_climb"`
+	Changes   int      `toml:"changes"`
+}
+
 // duration is a time such as "24h".
 type duration time.Duration
 
@@ -92,6 +108,16 @@
 		}
 		o.Store = &c
 	}
+	if t := f.Sites; t != nil {
+		c := sites.Config{
+			Prefer: t.Prefer, Clear: t.Clear, Doubt: t.Doubt, Dark: t.Dark, Memory: time.Duration(t.Memory), Hold: time.Duration(t.Hold),
+			First: t.First, Climb: time.Duration(t.Climb), MostClimb: time.Duration(t.MostClimb), Changes: t.Changes,
+		}
+		if _, err := sites.New(c, nil); err != nil {
+			return Operator{}, fmt.Errorf("[sites]: %w", err)
+		}
+		o.Sites = &c
+	}
 	for i := range f.Routes {
 		r, err := f.Routes[i].route(i)
 		if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -90,10 +90,16 @@
 	if book != nil {
 		transport = orders.Transport(transport)
 	}
-	s.engine = engine.New(engine.Options{
+	options := engine.Options{
 		Config: cfg.Settings.Config, Module: b, Transport: transport, Source: discovery.Client{Addr: cfg.Discovery},
 		Known: cfg.Known, Log: log,
-	})
+	}
+	if op.Sites != nil {
+		if options.Sites, err = options.NewSites(*op.Sites); err != nil {
+			return nil, fmt.Errorf("[sites]: %w", err)
+		}
+	}
+	s.engine = engine.New(options)
 	if book != nil {
 		s.desk = orders.New(orders.Options{Engine: s.engine, Book: book, Codec: httpmsg.Codec{}, Retention: retention, Log: log})
 	}
--- a/internal/daemon/operate_test.go
+++ b/internal/daemon/operate_test.go
@@ -218,7 +218,7 @@
 	o.Metrics().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/api/telemetry", nil))
 	for _, want := range []string{
 		`svc_ok_total{kind="read"} 2`, `svc_shed_total{kind="read"} 1`, `svc_errors_total{kind="read"} 0`,
-		`svc_tries_total{kind="read",result="ok"} 2`, `svc_active 0`, `svc_pool_size 1`, `svc_pool_out 1`, `svc_pool_draining 0`,
+		`svc_tries_total{kind="read",result="ok"} 2`, `svc_active 0`, `svc_pool_size 1`, `svc_server_out{server="a"} 0`, `svc_pool_out 1`, `svc_pool_draining 0`,
 		`svc_config_rejected_total 1`, `svc_config_applied_total 0`, `svc_descriptors_most{of="all"} 240`,
 	} {
 		if !strings.Contains(rec.Body.String(), want+"\n") {
--- /dev/null
+++ b/internal/daemon/sites_test.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"quillfront/internal/config"
+	"quillfront/internal/engine"
+	"quillfront/policy"
+	"quillfront/sites"
+)
+
+// TestLossOfASite: all servers of a site fail at once, in several ways, and come back. The site gets next to nothing while
+// it is dark, the other goes on, and the way back is one of degrees.
+func TestLossOfASite(t *testing.T) {
+	for _, fault := range []string{"errors", "resets", "silence"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			var down atomic.Bool
+			var hits [2]atomic.Int64
+			end := make(chan struct{})
+			defer close(end)
+			known := engine.List{Seq: 1, Whole: true}
+			for i := range 4 {
+				site := i % 2
+				addr := peer(t, answering(func(q *http.Request, c net.Conn) {
+					if q.URL.Path != "/load" {
+						hits[site].Add(1)
+					}
+					text := okAnswer
+					if q.URL.Path == "/load" {
+						text = "HTTP/1.1 200 OK\nContent-Length: 7\n\nqueue=0"
+					}
+					if site == 1 && down.Load() {
+						switch fault {
+						case "errors":
+							text = "HTTP/1.1 500 Internal Server Error\nContent-Length: 0\n\n"
+						case "resets":
+							c.Close()
+							return
+						case "silence":
+							<-end
+							return
+						}
+					}
+					io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n"))
+				}))
+				known.Servers = append(known.Servers, engine.Server{
+					ID: policy.ServerID(fmt.Sprint("s", i)), Addr: addr, State: policy.Ready, Zone: []string{"a", "b"}[site], Weight: 1,
+				})
+			}
+			cfg, err := loadText(t, configText("127.0.0.1:1", "127.0.0.1:1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			cfg.Known = &known
+			s, err := New(cfg, config.Operator{Sites: &sites.Config{
+				Memory: 300 * time.Millisecond, Hold: 200 * time.Millisecond, Climb: 2 * time.Second, MostClimb: time.Minute,
+			}}, slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			w := serve(t, s)
+			stop := make(chan struct{})
+			defer close(stop)
+			var asked, served atomic.Int64
+			for range 8 {
+				go func() {
+					for n := 0; ; n++ {
+						select {
+						case <-stop:
+							return
+						case <-time.After(5 * time.Millisecond):
+						}
+						c, err := net.Dial("tcp", w.addr)
+						if err != nil {
+							return
+						}
+						asked.Add(1)
+						fmt.Fprintf(c, "GET /read/k HTTP/1.1\r\nHost: s\r\nX-Request-ID: s%d\r\nX-Timeout-Ms: 300\r\nConnection: close\r\n\r\n", lastID.Add(1))
+						c.SetDeadline(time.Now().Add(patience))
+						answer, _ := io.ReadAll(c)
+						if strings.HasPrefix(string(answer), "HTTP/1.1 200 ") {
+							served.Add(1)
+						}
+						c.Close()
+					}
+				}()
+			}
+			view := func() sites.View {
+				for _, v := range w.engine.Snapshot().Sites {
+					if v.Site == "b" {
+						return v
+					}
+				}
+				return sites.View{}
+			}
+			eventually(t, "both sites are used", func() bool { return hits[0].Load() > 50 && hits[1].Load() > 50 })
+			down.Store(true)
+			eventually(t, "the site is dark", func() bool { return view().State == sites.Dark })
+			time.Sleep(500 * time.Millisecond) // what was under way is over
+			a, b, n, ok := hits[0].Load(), hits[1].Load(), asked.Load(), served.Load()
+			eventually(t, "500 requests in the dark", func() bool { return asked.Load() > n+500 })
+			a, b, n, ok = hits[0].Load()-a, hits[1].Load()-b, asked.Load()-n, served.Load()-ok
+			if b > a/10 {
+				t.Errorf("%d requests go to the dark site and %d to the other", b, a)
+			}
+			if ok < n*9/10 {
+				t.Errorf("%d of %d served", ok, n)
+			}
+			down.Store(false)
+			eventually(t, "the site returns", func() bool { return view().State == sites.Returning })
+			if share := view().Share; share > 0.5 {
+				t.Errorf("it returns with a share of %.2f", share)
+			}
+			eventually(t, "the site is back", func() bool { return view().State == sites.Healthy })
+		})
+	}
+}
--- a/internal/daemon/world_test.go
+++ b/internal/daemon/world_test.go
@@ -173,6 +173,12 @@
 	} else if s, err = New(cfg, config.Operator{}, log); err != nil {
 		t.Fatal(err)
 	}
+	return serve(t, s)
+}
+
+// serve has s serve until the test ends.
+func serve(t testing.TB, s *Sidecar) *world {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -18,6 +18,7 @@
 
 	"quillfront/policy"
 	"quillfront/roster"
+	"quillfront/sites"
 )
 
 // longAgo lies between the clock's origin and the engine's start. It keeps every present time far from zero, which the
@@ -81,8 +82,9 @@
 	Config    policy.Config
 	Module    Module
 	Transport Transport
-	Source    Source // of the list; nil: nothing is ever told
-	Known     *List  // the list as it was last known, perhaps out of date
+	Source    Source         // of the list; nil: nothing is ever told
+	Sites     *sites.Monitor // nil: sites are not watched
+	Known     *List          // the list as it was last known, perhaps out of date
 	Log       *slog.Logger
 }
 
@@ -107,6 +109,8 @@
 	endpoints map[policy.ServerID]Endpoint // of the servers that are listed
 	listed    map[policy.ServerID]Server   // the list as it was told
 	counts    map[string]*Counts           // by class
+	sites     *sites.Monitor               // nil: sites are not watched
+	shared    policy.Time                  // when the module was last told of their shares
 	told      bool                         // by the source
 	absences  roster.Absences              // what operators have taken out of it
 	source    Source
@@ -130,7 +134,7 @@
 		log: o.Log, ctx: ctx, stop: stop, origin: origin, originMs: origin.UnixMilli(), to: o.Transport,
 		module: o.Module, requests: map[policy.RequestID]*Request{},
 		names: map[string]*Request{}, endpoints: map[policy.ServerID]Endpoint{}, source: o.Source, seq: UnknownSeq,
-		drained: make(chan struct{}), listed: map[policy.ServerID]Server{}, counts: map[string]*Counts{},
+		drained: make(chan struct{}), listed: map[policy.ServerID]Server{}, counts: map[string]*Counts{}, sites: o.Sites,
 	}
 	e.rules.Store(newRules(o.Config))
 	e.alarm = time.AfterFunc(longAgo, e.ring)
@@ -243,6 +247,7 @@
 
 // hand tells the module of a request.
 func (e *Engine) hand(now policy.Time, r *Request, read policy.Time) {
+	e.offered(now, r)
 	e.module.Request(now, policy.Request{
 		ID: r.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Cost: r.Cost, Retry: r.Retry, Expires: read + r.Wait, Past: r.Past,
 		Upload: r.Upload,
@@ -330,6 +335,7 @@
 	r.out--
 	r.last = end.Status
 	e.count(r).Attempts[end.Status]++
+	e.evidence(now, a.Server, end.Status)
 	delay := now - a.sent
 	if a.begun != 0 {
 		delay = a.begun - a.sent // the rest may be as long as it likes
@@ -436,6 +442,7 @@
 		status, load := e.to.Probe(e.ctx, to)
 		e.event(func(now policy.Time) {
 			e.probing--
+			e.evidence(now, server, status)
 			if !e.closed {
 				e.module.Probed(now, policy.ProbeResult{Server: server, Status: status, Delay: now - sent, Load: load}, e)
 			}
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quillfront/policy"
+	"quillfront/sites"
 )
 
 // Snapshot is what an engine holds and believes at one moment.
@@ -20,6 +21,7 @@
 	Watching bool
 	Servers  []ServerState // in the order of their IDs
 	Beliefs  policy.Beliefs
+	Sites    []sites.View // in the order of preference; none where sites are not watched
 }
 
 // ServerState is a listed server with what the module believes of it.
@@ -48,6 +50,9 @@
 	if m, ok := e.module.(believer); ok {
 		s.Beliefs = m.Beliefs(e.Now())
 	}
+	if e.sites != nil {
+		s.Sites = e.sites.Views(e.Now())
+	}
 	believed := map[policy.ServerID]policy.ServerBelief{}
 	for _, b := range s.Beliefs.Servers {
 		believed[b.ID] = b
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -33,6 +33,9 @@
 
 const prefix = "svc_"
 
+// mostServers bounds the servers whose figures are told apart: the first by their ids.
+const mostServers = 200
+
 func desc(name, help string, labels ...string) *prometheus.Desc {
 	return prometheus.NewDesc(prefix+name, help, labels, nil)
 }
@@ -57,12 +60,21 @@
 	descriptors   = desc("descriptors", "Descriptors in use.", "of")
 	places        = desc("descriptors_most", "Descriptors that may be in use.", "of")
 	ordersTotal   = desc("orders_total", "Requests that named an order, by what followed from what was known of it.", "result")
+	serverOut     = desc("server_out", "Attempts of this sidecar at a server.", "server")
+	serverQueue   = desc("server_queue", "Latest queue that a server reported.", "server")
+	serverDelay   = desc("server_expected_seconds", "Delay to expect of an answer of a server.", "server")
+	serverWarmth  = desc("server_warmth", "Least share of its capacity that a server has.", "server")
+	serverLeft    = desc("server_ejected_seconds", "How much longer a server is left out for what it failed at.", "server")
+	serverFails   = desc("server_failures", "Failures of a server in a row.", "server")
+	siteShare     = desc("site_share", "Part of its traffic that a site takes.", "site")
+	siteState     = desc("site_state", "0 healthy, 1 doubtful, 2 dark, 3 returning.", "site")
+	siteBad       = desc("site_bad", "Part of a site's servers that fails, of those that are known.", "site")
 	ordersFailing = desc("orders_failing", "1 while nothing can be noted of orders.")
 )
 
 var all = []*prometheus.Desc{
 	okTotal, shedTotal, errorsTotal, leftTotal, triesTotal, active, held, poolSize, poolEjected, poolOut, poolDraining, readySet,
-	threshold, evacuated, applied, rejected, descriptors, places, ordersTotal, ordersFailing,
+	threshold, serverOut, serverQueue, serverDelay, serverWarmth, serverLeft, serverFails, siteShare, siteState, siteBad, evacuated, applied, rejected, descriptors, places, ordersTotal, ordersFailing,
 }
 
 // statuses names how attempts end.
@@ -109,6 +121,22 @@
 			draining++
 		}
 	}
+	for _, t := range s.Engine.Servers[:min(len(s.Engine.Servers), mostServers)] {
+		id := string(t.ID)
+		gauge(serverOut, float64(t.Out), id)
+		if t.Reported {
+			gauge(serverQueue, t.Queue, id)
+		}
+		gauge(serverDelay, t.Expected.Seconds(), id)
+		gauge(serverWarmth, t.Warmth, id)
+		gauge(serverLeft, t.Ejected.Seconds(), id)
+		gauge(serverFails, float64(t.Fails), id)
+	}
+	for _, v := range s.Engine.Sites {
+		gauge(siteShare, v.Share, v.Site)
+		gauge(siteState, float64(v.State), v.Site)
+		gauge(siteBad, v.Bad, v.Site)
+	}
 	gauge(active, float64(s.Engine.Open))
 	gauge(held, float64(s.Engine.Beliefs.Held))
 	gauge(poolSize, float64(len(s.Engine.Servers)))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -66,6 +66,8 @@
 
 	delay delayModel // of answers by the depth found
 
+	shares map[string]float64 // of sites that take a part of their traffic only
+
 	topWorth   float64 // highest worth of a class for each second of its aim
 	sweeping   bool    // a timer for sweep is out
 	watching   bool
@@ -457,7 +459,7 @@
 	for _, s := range b.ready {
 		if s.ejected > now {
 			bad++
-		} else if len(set) < b.setSize && b.warmth(now, s) == 1 {
+		} else if len(set) < b.setSize && b.capacity(now, s) == 1 {
 			set = append(set, s)
 		}
 	}
@@ -472,7 +474,7 @@
 // gets that part of what this sidecar sends a warm one, whatever its reports, and however many wait.
 func (b *Balancer) coldTurn(now Time) *server {
 	s := b.ready[b.rng.IntN(b.setSize)]
-	if w := b.warmth(now, s); w == 1 || s.ejected > now || b.rng.Float64() >= w {
+	if w := b.capacity(now, s); w == 1 || s.ejected > now || b.rng.Float64() >= w {
 		return nil
 	}
 	return s
@@ -492,13 +494,13 @@
 		return nil
 	}
 	s := b.ready[b.rng.IntN(b.setSize)]
-	w := b.warmth(now, s)
+	w := b.capacity(now, s)
 	if w == 1 || s.ejected > now {
 		return nil
 	}
 	least := math.MaxInt
 	for _, t := range b.ready {
-		if b.warmth(now, t) == 1 && t.ejected <= now {
+		if b.capacity(now, t) == 1 && t.ejected <= now {
 			least = min(least, t.out)
 		}
 	}
@@ -605,7 +607,7 @@
 // thin lets a request have a cold server for its first attempt only, and only a share of requests: that
 // of its least capacity. All picks for a request agree, so that asking twice does not double the share.
 func (b *Balancer) thin(now Time, r *request, s *server) bool {
-	w := b.warmth(now, s)
+	w := b.capacity(now, s)
 	return w == 1 || len(r.attempts) == 0 && float64(hash(s.ID, uint64(r.ID))) < w*math.MaxUint64
 }
 
@@ -644,6 +646,26 @@
 	return max(q, float64(s.out))
 }
 
+// capacity is the part of what s could take that it is to be sent: that of its warmth, and of its site's share.
+func (b *Balancer) capacity(now Time, s *server) float64 {
+	w := b.warmth(now, s)
+	if share, ok := b.shares[s.Zone]; ok {
+		w *= share
+	}
+	return w
+}
+
+// SetShares has the servers of the sites that are named take that part of their traffic only, above 0 and below 1; all others
+// take theirs whole. Such a server is sent as little as one that is cold by that much: by its turns, and no further attempt.
+func (b *Balancer) SetShares(shares map[string]float64) {
+	b.shares = map[string]float64{}
+	for site, share := range shares {
+		if share < 1 {
+			b.shares[site] = max(share, 0)
+		}
+	}
+}
+
 // warmth is the least share of its capacity that s has at now.
 func (b *Balancer) warmth(now Time, s *server) float64 {
 	if s.Started == 0 || now-s.Started >= b.cfg.Ramp {
