Let a cold server have its share of what stands at warm ones in the mean

Cause: read by server at the operators' address: while two warm servers were at their limits (11 and 3 requests, 199 and 157 ms to expect), three at 0.6 to 0.7 of their capacity had 1 or 2 each: the least loaded warm one is often one that has just answered.

Change: policy.relief goes by the mean of the warm ones.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -485,9 +485,9 @@
 const refusedCold = 0.5
 
 // relief draws a place of the ready set, and returns the server there if it is cold and may take one of the requests that
-// warm ones are too slow for: while it has less of this sidecar's requests than the least loaded of those, in proportion to its
-// least capacity. What stands at it is bounded so by its share of what stands at them, and what it is sent by what it
-// answers, however many are refused. It guards against refusals beside servers that warm up while a release of the fleet
+// warm ones are too slow for: while it has less of this sidecar's requests than those have in the mean, in proportion to its
+// least capacity. What stands at it is bounded so by its share of what stands at them, over all sidecars alike, and what it
+// is sent by what it answers, however many are refused. It guards against refusals beside servers that warm up while a release of the fleet
 // leaves the others overloaded: their turns come with what is sent, of which there is less the more is refused.
 func (b *Balancer) relief(now Time) *server {
 	if b.setSize == 0 {
@@ -498,13 +498,13 @@
 	if w == 1 || s.ejected > now {
 		return nil
 	}
-	least := math.MaxInt
+	warm, out := 0, 0
 	for _, t := range b.ready {
 		if b.capacity(now, t) == 1 && t.ejected <= now {
-			least = min(least, t.out)
+			warm, out = warm+1, out+t.out
 		}
 	}
-	if least < math.MaxInt && float64(s.out+1) <= w*float64(least) || s.out == 0 && b.rng.Float64() < refusedCold*w {
+	if float64((s.out+1)*warm) <= w*float64(out) || s.out == 0 && b.rng.Float64() < refusedCold*w {
 		return s
 	}
 	return nil
--- a/store/compare/stores.go
+++ b/store/compare/stores.go
@@ -83,6 +83,10 @@
 		s, err := store.Open(store.Dir(dir), store.Options{MostBytes: 4 << 30, MostKeys: 2_000_000})
 		return ours{s}, err
 	}},
+	{"store-hints", func(dir string, _ bool) (kept, error) {
+		s, err := store.Open(store.Dir(dir), store.Options{MostBytes: 4 << 30, MostKeys: 2_000_000, Hints: true})
+		return ours{s}, err
+	}},
 	{"bbolt", func(dir string, firm bool) (kept, error) {
 		s, err := bbolt.Open(dir+"/db", 0o600, &bbolt.Options{NoSync: !firm, FreelistType: bbolt.FreelistMapType})
 		if err == nil {
