Bound what spills from a dark site, and offer sites in the library

Need: what a dark site leaves all went to the others; an application that holds the balancer had no sites.

A long body that breaks in the handler is told so, whichever of two ends comes first.

--- a/balancer.go
+++ b/balancer.go
@@ -110,6 +110,7 @@
 	seed   *uint64
 	module engine.Module
 	orders *orders.Config
+	sites  *Sites
 }
 
 // WithLogger makes a Balancer log to l. Without it nothing is logged.
@@ -187,9 +188,17 @@
 		}
 		transport = orders.Transport(transport)
 	}
-	b.engine = engine.New(engine.Options{
+	engineOptions := engine.Options{
 		Config: p.settings.Config, Module: module, Transport: transport, Source: p.source, Known: p.known, Log: o.log,
-	})
+	}
+	if err := o.watchSites(&engineOptions); err != nil {
+		b.transport.Close()
+		if book != nil {
+			book.Close()
+		}
+		return nil, err
+	}
+	b.engine = engine.New(engineOptions)
 	if book != nil {
 		b.desk = orders.New(orders.Options{Engine: b.engine, Book: book, Codec: httpmsg.Codec{}, Retention: retention, Log: o.log})
 	}
--- a/http.go
+++ b/http.go
@@ -71,7 +71,13 @@
 	if up != nil {
 		select {
 		case <-m.Rest.Done():
-			if err := m.Rest.Broken(); err != nil && b.engine.Withdraw(r) {
+			if err := m.Rest.Broken(); err != nil {
+				if b.engine.Withdraw(r) {
+					return nil, err
+				}
+				if result := <-r.Result(); result.Kind == engine.Served { // it came at the same moment
+					return b.result(result)
+				}
 				return nil, err
 			}
 		case result := <-r.Result():
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -48,6 +48,7 @@
 	Memory    duration `toml:"memory"`
 	Hold      duration `toml:"hold"`
 	First     float64  `toml:"first"`
+	Spill     float64  `toml:"spill"`
 	Climb     duration `toml:"climb"`
 	MostClimb duration `toml:"most_climb"`
 	Changes   int      `toml:"changes"`
@@ -111,7 +112,7 @@
 	if t := f.Sites; t != nil {
 		c := sites.Config{
 			Prefer: t.Prefer, Clear: t.Clear, Doubt: t.Doubt, Dark: t.Dark, Memory: time.Duration(t.Memory), Hold: time.Duration(t.Hold),
-			First: t.First, Climb: time.Duration(t.Climb), MostClimb: time.Duration(t.MostClimb), Changes: t.Changes,
+			First: t.First, Spill: t.Spill, Climb: time.Duration(t.Climb), MostClimb: time.Duration(t.MostClimb), Changes: t.Changes,
 		}
 		if _, err := sites.New(c, nil); err != nil {
 			return Operator{}, fmt.Errorf("[sites]: %w", err)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -137,6 +137,7 @@
 		drained: make(chan struct{}), listed: map[policy.ServerID]Server{}, counts: map[string]*Counts{}, sites: o.Sites,
 	}
 	e.rules.Store(newRules(o.Config))
+	e.watchSites()
 	e.alarm = time.AfterFunc(longAgo, e.ring)
 	e.alarm.Stop()
 	if o.Known != nil {
--- a/internal/engine/sites.go
+++ b/internal/engine/sites.go
@@ -10,8 +10,11 @@
 // sharesEvery is how often the module is told of the sites' shares at most.
 const sharesEvery = 100 * time.Millisecond
 
-// shareTaker is a module that goes by shares of sites.
-type shareTaker interface{ SetShares(map[string]float64) }
+// shareTaker is a module that goes by shares of sites, and asks what may spill.
+type shareTaker interface {
+	SetShares(map[string]float64)
+	SetSpill(func(now policy.Time, from string, weight float64) bool)
+}
 
 // NewSites returns a monitor of sites by cfg that logs its transitions, for Options.
 func (o *Options) NewSites(cfg sites.Config) (*sites.Monitor, error) {
@@ -21,7 +24,14 @@
 	})
 }
 
-// list tells the monitor which servers may take requests.
+// watchSites has the module go by the monitor, if there is one.
+func (e *Engine) watchSites() {
+	if m, ok := e.module.(shareTaker); ok && e.sites != nil {
+		m.SetSpill(e.sites.Spill)
+	}
+}
+
+// listSites tells the monitor which servers may take requests.
 func (e *Engine) listSites(now policy.Time) {
 	if e.sites == nil {
 		return
--- a/internal/engine/snapshot.go
+++ b/internal/engine/snapshot.go
@@ -11,8 +11,9 @@
 
 // Snapshot is what an engine holds and believes at one moment.
 type Snapshot struct {
-	Open     int // requests without a result
-	Held     int // requests of which something is kept: open ones, and ended ones with attempts out
+	At       policy.Time // when it was taken, by the module's clock
+	Open     int         // requests without a result
+	Held     int         // requests of which something is kept: open ones, and ended ones with attempts out
 	Taken    uint64
 	Probing  int           // probes under way
 	Timers   int           // timers that are not yet due
@@ -41,7 +42,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := Snapshot{
-		Open: e.open, Held: len(e.requests), Taken: uint64(e.lastID), Probing: e.probing, Timers: len(e.timers),
+		At: e.Now(), Open: e.open, Held: len(e.requests), Taken: uint64(e.lastID), Probing: e.probing, Timers: len(e.timers),
 		ListSeq: e.seq, Watching: e.stopWatch != nil,
 	}
 	for _, t := range e.timers {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -69,12 +69,14 @@
 	siteShare     = desc("site_share", "Part of its traffic that a site takes.", "site")
 	siteState     = desc("site_state", "0 healthy, 1 doubtful, 2 dark, 3 returning.", "site")
 	siteBad       = desc("site_bad", "Part of a site's servers that fails, of those that are known.", "site")
+	siteSpilled   = desc("site_spilled_total", "Requests that a site was sent for others.", "site")
+	siteAway      = desc("site_turned_away_total", "Requests meant for a site that no other had room for.", "site")
 	ordersFailing = desc("orders_failing", "1 while nothing can be noted of orders.")
 )
 
 var all = []*prometheus.Desc{
 	okTotal, shedTotal, errorsTotal, leftTotal, triesTotal, active, held, poolSize, poolEjected, poolOut, poolDraining, readySet,
-	threshold, serverOut, serverQueue, serverDelay, serverWarmth, serverLeft, serverFails, siteShare, siteState, siteBad, evacuated, applied, rejected, descriptors, places, ordersTotal, ordersFailing,
+	threshold, serverOut, serverQueue, serverDelay, serverWarmth, serverLeft, serverFails, siteShare, siteState, siteBad, siteSpilled, siteAway, evacuated, applied, rejected, descriptors, places, ordersTotal, ordersFailing,
 }
 
 // statuses names how attempts end.
@@ -136,6 +138,8 @@
 		gauge(siteShare, v.Share, v.Site)
 		gauge(siteState, float64(v.State), v.Site)
 		gauge(siteBad, v.Bad, v.Site)
+		total(siteSpilled, v.Spilled, v.Site)
+		total(siteAway, v.TurnedAway, v.Site)
 	}
 	gauge(active, float64(s.Engine.Open))
 	gauge(held, float64(s.Engine.Beliefs.Held))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -66,7 +66,8 @@
 
 	delay delayModel // of answers by the depth found
 
-	shares map[string]float64 // of sites that take a part of their traffic only
+	shares map[string]float64                               // of sites that take a part of their traffic only
+	spill  func(now Time, from string, weight float64) bool // whether others may take what is meant for one; nil: always
 
 	topWorth   float64 // highest worth of a class for each second of its aim
 	sweeping   bool    // a timer for sweep is out
@@ -258,6 +259,10 @@
 		b.finish(now, r, false, act)
 		return
 	}
+	if from, displaced := b.displaced(now); displaced && !b.spill(now, from, c.Worth/c.Aim.Seconds()/max(b.topWorth, 1e-9)) {
+		b.finish(now, r, true, act) // the other sites have enough of their own
+		return
+	}
 	act.SetTimer(r.end-now, token(q.ID))
 	b.earn(refusedShare)
 	set := b.set(now)
@@ -655,6 +660,21 @@
 	return w
 }
 
+// SetSpill has spill say whether the other sites may take a request that is meant for one which may not. spill must give equal
+// answers to equal calls.
+func (b *Balancer) SetSpill(spill func(now Time, from string, weight float64) bool) { b.spill = spill }
+
+// displaced draws a place of the ready set, and reports whether the server there is of a site that may not take a request
+// now: what is drawn so is what falls to other sites.
+func (b *Balancer) displaced(now Time) (from string, is bool) {
+	if len(b.shares) == 0 || b.spill == nil || b.setSize == 0 {
+		return "", false
+	}
+	from = b.ready[b.rng.IntN(b.setSize)].Zone
+	share, partly := b.shares[from]
+	return from, partly && b.rng.Float64() >= share
+}
+
 // SetShares has the servers of the sites that are named take that part of their traffic only, above 0 and below 1; all others
 // take theirs whole. Such a server is sent as little as one that is cold by that much: by its turns, and no further attempt.
 func (b *Balancer) SetShares(shares map[string]float64) {
--- a/sites/monitor.go
+++ b/sites/monitor.go
@@ -58,6 +58,7 @@
 	judged  Time
 	offered float64 // requests a second, over loadMemory
 	asked   Time    // the latest of them
+	first   Time    // the first
 	listed  int     // servers
 	log     func(Transition)
 }
@@ -69,19 +70,20 @@
 }
 
 type site struct {
-	name     string
-	servers  int
-	state    State
-	since    Time
-	from     float64 // the share with which the present climb began
-	climb    time.Duration
-	relapses int
-	calm     Time   // since when it has been healthy
-	good     Time   // dark: since when its trials are answered; 0: they are not
-	changes  []Time // for the better, within the last minute
-	tokens   float64
-	filled   Time
-	evidence evidence
+	name                string
+	servers             int
+	state               State
+	since               Time
+	from                float64 // the share with which the present climb began
+	climb               time.Duration
+	relapses            int
+	calm                Time    // since when it has been healthy
+	good                Time    // dark: since when its trials are answered; 0: they are not
+	changes             []Time  // for the better, within the last minute
+	tokens              float64 // requests that may be added for others now
+	filled              Time
+	spilled, turnedAway uint64
+	evidence            evidence
 }
 
 // evidence is what is known of a site's servers.
@@ -333,26 +335,42 @@
 		m.offered *= math.Exp(-gap / float64(loadMemory))
 	}
 	m.offered += float64(time.Second) / float64(loadMemory)
-	m.asked = now
+	if m.asked = now; m.first == 0 {
+		m.first = now
+	}
 }
 
 // normal is the part of the load that is a site's by its servers, in requests a second.
+// What has been seen for less than loadMemory is taken for as much as it would come to: else an instance that starts while a site is
+// dark would turn nearly all away that was meant for it.
 func (m *Monitor) normal(s *site) float64 {
-	return m.offered * float64(s.servers) / float64(max(m.listed, 1))
+	seen := max(float64(m.asked-m.first), float64(time.Second))
+	return m.offered / (1 - math.Exp(-seen/float64(loadMemory))) * float64(s.servers) / float64(max(m.listed, 1))
 }
 
-// Spill reports whether a request may go to a site in place of another one that may not take it, and counts it if so. weight is
-// how much the request is worth beside the most that any is, 0 to 1: what is worth little is turned away while half of
-// what may spill is still there, so that what is worth most goes on to the last.
+// Spill reports whether a request that is meant for a site which may not take it may go to another one, and counts it if so:
+// to the first in the order of preference that has room. weight is how much the request is worth beside the most that any
+// is, 0 to 1: what is worth little is turned away while half of what may spill is still there, so that what is worth most
+// goes on to the last.
 //
-// Each instance adds at most the configured part of what is that site's of its own load, so that the sum over instances is
-// bounded by the same part of the sum, however unequal they are; but for a request each ten
-// seconds, which one that sends next to nothing may always add.
-func (m *Monitor) Spill(now Time, name string, weight float64) bool {
-	s := m.sites[name]
-	if s == nil {
-		return false
+// Each instance adds at most the configured part of what is a site's of its own load, so that the sum over instances is
+// bounded by the same part of the sum, however unequal they are; but for a request each ten seconds, which one that sends
+// next to nothing may always add.
+func (m *Monitor) Spill(now Time, from string, weight float64) bool {
+	for _, s := range m.ranked() {
+		if s.name != from && s.servers > 0 && s.state == Healthy && m.take(now, s, weight) {
+			s.spilled++
+			return true
+		}
 	}
+	if s := m.sites[from]; s != nil {
+		s.turnedAway++
+	}
+	return false
+}
+
+// take takes a token of what may be added to s.
+func (m *Monitor) take(now Time, s *site, weight float64) bool {
 	rate := m.cfg.Spill * m.normal(s)
 	most := max(rate*burst, 1)
 	s.tokens = min(s.tokens+max(rate, leastSpill)*(now-s.filled).Seconds(), most)
@@ -364,17 +382,28 @@
 	return true
 }
 
+// ranked returns the sites in the order of preference.
+func (m *Monitor) ranked() []*site {
+	all := slices.Collect(maps.Values(m.sites))
+	slices.SortFunc(all, func(a, b *site) int {
+		return cmp.Or(cmp.Compare(m.rank(a.name), m.rank(b.name)), cmp.Compare(a.name, b.name))
+	})
+	return all
+}
+
 // View is what a Monitor holds of a site.
 type View struct {
-	Site     string
-	State    State
-	Since    Time // of the state
-	Share    float64
-	Servers  int
-	Known    int     // servers of which enough is known
-	Bad      float64 // the part of them that fails
-	Relapses int
-	Normal   float64 // requests a second that are the site's by its servers
+	Site       string
+	State      State
+	Since      Time // of the state
+	Share      float64
+	Servers    int
+	Known      int     // servers of which enough is known
+	Bad        float64 // the part of them that fails
+	Relapses   int
+	Normal     float64 // requests a second that are the site's by its servers
+	Spilled    uint64  // requests that were added for others
+	TurnedAway uint64  // requests meant for it that no other site had room for
 }
 
 // String describes v for logs.
@@ -385,14 +414,11 @@
 // Views returns all sites in the order of preference.
 func (m *Monitor) Views(now Time) []View {
 	var all []View
-	for _, s := range m.sites {
+	for _, s := range m.ranked() {
 		all = append(all, View{
-			s.name, s.state, s.since, m.share(now, s), s.servers, s.evidence.known, s.evidence.bad, s.relapses, m.normal(s),
+			s.name, s.state, s.since, m.share(now, s), s.servers, s.evidence.known, s.evidence.bad, s.relapses, m.normal(s), s.spilled, s.turnedAway,
 		})
 	}
-	slices.SortFunc(all, func(a, b View) int {
-		return cmp.Or(cmp.Compare(m.rank(a.Site), m.rank(b.Site)), cmp.Compare(a.Site, b.Site))
-	})
 	return all
 }
 
--- a/snapshot.go
+++ b/snapshot.go
@@ -19,6 +19,7 @@
 	ReadySet    int
 	Servers     []ServerSnapshot // in the order of their IDs
 	Orders      *OrdersSnapshot  // nil without WithOrders
+	Sites       []SiteSnapshot   // in the order of preference; nil without WithSites
 }
 
 // OrdersSnapshot is what became of requests that named an order.
@@ -55,7 +56,7 @@
 	s := Snapshot{
 		Open: e.Open, Taken: e.Taken, Probing: e.Probing, Waiting: e.Beliefs.Held, Connections: used,
 		Watching: e.Watching, Threshold: e.Beliefs.Threshold, ReadySet: e.Beliefs.ReadySet,
-		Servers: make([]ServerSnapshot, len(e.Servers)),
+		Servers: make([]ServerSnapshot, len(e.Servers)), Sites: siteSnapshots(e),
 	}
 	if b.desk != nil {
 		d := b.desk.Stats()
--- a/sources_test.go
+++ b/sources_test.go
@@ -100,3 +100,26 @@
 		}
 	}
 }
+
+// TestSites: a Balancer that watches sites tells how they are held to be, and what cannot be is named.
+func TestSites(t *testing.T) {
+	classes := []Class{{Name: "read", Effect: Safe, Aim: time.Second, Deadline: time.Second}}
+	servers := Static(Server{ID: "a", Addr: "127.0.0.1:1", Zone: "x"}, Server{ID: "b", Addr: "127.0.0.1:1", Zone: "y"})
+	cfg := Config{Classes: classes, Servers: servers}
+	if _, err := New(cfg, WithSites(Sites{Doubt: 0.9})); err == nil || !strings.Contains(err.Error(), "Sites: doubt") {
+		t.Errorf("doubt above dark: %v", err)
+	}
+	b, err := New(cfg, WithSites(Sites{Prefer: []string{"y"}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	for end := time.Now().Add(20 * time.Second); len(b.Snapshot().Sites) < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the sites are not known")
+		}
+	}
+	if s := b.Snapshot().Sites; s[0].Site != "y" || s[0].State != "healthy" || s[0].Share != 1 || s[0].Servers != 1 || s[1].Site != "x" {
+		t.Errorf("%+v", s)
+	}
+}
--- a/store/sync_linux.go
+++ b/store/sync_linux.go
@@ -7,41 +7,33 @@
 
 // datasync makes a file's bytes and its length durable, and not the times that nobody goes by (fdatasync(2)). The file may be
 // closed meanwhile: the descriptor is held until it returns.
-func datasync(f *os.File) error {
-	raw, err := f.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var failed error
-	err = raw.Control(func(fd uintptr) {
-		for {
-			if failed = syscall.Fdatasync(int(fd)); failed != syscall.EINTR {
-				return
-			}
+func datasync(f *os.File) error { return call(f, "fdatasync", syscall.Fdatasync) }
+
+// allocate sets room aside (fallocate(2)). Where the file system cannot, the file stays as it is.
+func allocate(f *os.File, size int64) error {
+	return call(f, "fallocate", func(fd int) error {
+		err := syscall.Fallocate(fd, 0, 0, size)
+		if err == syscall.EOPNOTSUPP || err == syscall.ENOSYS {
+			return nil
 		}
-	})
-	if err != nil {
 		return err
-	}
-	return os.NewSyscallError("fdatasync", failed)
+	})
 }
 
-// allocate sets room aside (fallocate(2)). Where the file system cannot, the file stays as it is.
-func allocate(f *os.File, size int64) error {
+// call makes a system call on f's descriptor, again where a signal has interrupted it.
+func call(f *os.File, name string, what func(fd int) error) error {
 	raw, err := f.SyscallConn()
 	if err != nil {
 		return err
 	}
 	var failed error
 	err = raw.Control(func(fd uintptr) {
-		for {
-			if failed = syscall.Fallocate(int(fd), 0, 0, size); failed != syscall.EINTR {
-				return
-			}
+		for failed = syscall.EINTR; failed == syscall.EINTR; {
+			failed = what(int(fd))
 		}
 	})
-	if err != nil || failed == syscall.EOPNOTSUPP || failed == syscall.ENOSYS {
+	if err != nil {
 		return err
 	}
-	return os.NewSyscallError("fallocate", failed)
+	return os.NewSyscallError(name, failed)
 }
