Leave what was learnt only where a process can take over

Cause: read again: each sidecar with an operators' address wrote what it had learnt each second, also where no inherited socket lets another process begin beside it.

--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -30,7 +30,9 @@
 func (s *Sidecar) operate(ctx context.Context, helpers *sync.WaitGroup) error {
 	if s.dir != nil {
 		helpers.Go(func() { s.dir.Follow(ctx, s.apply, func(o handover.Others) { s.beside(o, nil) }) })
-		helpers.Go(func() { s.note(ctx) })
+		if s.cfg.AcceptFD != 0 {
+			helpers.Go(func() { s.note(ctx) })
+		}
 	}
 	if s.cfg.Management == "" {
 		return nil
--- a/internal/engine/sites.go
+++ b/internal/engine/sites.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// offered tells the monitor of a request.
+// offered tells the monitor of a request, and the module of the shares in time for it.
 func (e *Engine) offered(now policy.Time, r *Request) {
 	if e.sites == nil {
 		return
