Keep calls that come at once, hear late early answers, and let no old change undo a newer one

Cause: found on reading the change again. Without a shared directory two calls of operators at once lost one. The end of a change of settings that fired as another came could bring the older settings back. An upstream that turned a long request away after the client's time was passed over, as its answer was read by a deadline of the past; the time had not begun. A start that failed left the store locked.

Change: a lock around operators' changes; the end of a change looks whether it is still the latest; the reading of an early answer has its own time; what was opened is closed. The framing of chunks and the buffers of long bodies stand once, in httpmsg; a field and an argument that said nothing are gone.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,13 +55,14 @@
 	serving atomic.Bool   // clients are accepted
 	began   time.Time     // when this process did
 	took    bool          // it takes over from an older one
-	older   atomic.Int32  // the other processes of this sidecar that live
-	newer   atomic.Int32
+	newer   atomic.Int32  // processes of this sidecar that live and are newer
+	asking  sync.Mutex    // held while operators change something here
 
 	mu      sync.Mutex
 	cfg     config.Config  // as it is applied; what takes a restart, as it was at the start
 	state   handover.State // what operators have asked for, as it is applied
 	settle  *time.Timer    // ends a change of the settings; nil before the first
+	changes int            // of the settings
 	reloads struct{ applied, rejected int }
 }
 
@@ -96,6 +97,10 @@
 	}
 	if op.Sites != nil {
 		if options.Sites, err = options.NewSites(*op.Sites); err != nil {
+			s.transport.Close()
+			if book != nil {
+				err = errors.Join(err, book.Close())
+			}
 			return nil, fmt.Errorf("[sites]: %w", err)
 		}
 	}
@@ -111,8 +116,13 @@
 			return nil, err
 		}
 		s.apply(s.dir.State())
-		s.beside(s.dir.Others())
-		if s.took = s.older.Load() > 0; s.took {
+		o, err := s.dir.Others()
+		if err != nil {
+			s.close()
+			return nil, err
+		}
+		s.beside(o)
+		if s.took = o.Older > 0; s.took {
 			var l policy.Learned
 			if s.dir.Noted(&l, noteAge) {
 				s.engine.Learn(l)
@@ -230,8 +240,14 @@
 		if s.settle != nil {
 			s.settle.Stop()
 		}
-		if change.Moved {
+		s.changes++
+		if n := s.changes; change.Moved {
 			s.settle = time.AfterFunc(changeTime, func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if s.changes != n { // it fired as another change came: that one holds
+					return
+				}
 				if err := s.engine.Reconfigure(change.Then); err != nil {
 					s.log.Error("reload", "err", err)
 				}
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -29,7 +29,7 @@
 // operate opens the operators' address and follows the other processes of the sidecar, until ctx ends.
 func (s *Sidecar) operate(ctx context.Context, helpers *sync.WaitGroup) error {
 	if s.dir != nil {
-		helpers.Go(func() { s.dir.Follow(ctx, s.apply, func(o handover.Others) { s.beside(o, nil) }) })
+		helpers.Go(func() { s.dir.Follow(ctx, s.apply, s.beside) })
 		if s.cfg.AcceptFD != 0 {
 			helpers.Go(func() { s.note(ctx) })
 		}
@@ -94,6 +94,8 @@
 
 // update changes what operators have asked for, here and in the other process.
 func (s *Sidecar) update(f func(*handover.State) error) error {
+	s.asking.Lock() // two calls at once are both kept
+	defer s.asking.Unlock()
 	var state handover.State
 	if s.dir != nil {
 		var err error
@@ -113,13 +115,8 @@
 }
 
 // beside fits this process to the others of the sidecar: memory and descriptors are counted together.
-func (s *Sidecar) beside(o handover.Others, err error) {
-	if err != nil {
-		s.log.Error("handover", "err", err)
-		return
-	}
+func (s *Sidecar) beside(o handover.Others) {
 	parts := 1 + o.Older + o.Newer
-	s.older.Store(int32(o.Older))
 	s.newer.Store(int32(o.Newer))
 	s.sockets.Share(1 / float64(parts))
 	setMemory(s.cfg.MemoryMB, parts)
--- a/internal/daemon/operate_test.go
+++ b/internal/daemon/operate_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 
 	"quillfront/internal/config"
+	"quillfront/internal/handover"
 	"quillfront/internal/management"
 	"quillfront/policy"
 	"quillfront/roster"
@@ -143,6 +147,24 @@
 	}
 }
 
+// TestCallsAtOnce: of many calls at once each is kept.
+func TestCallsAtOnce(t *testing.T) {
+	w := start(t, newScript(), "127.0.0.1:1", "127.0.0.1:1")
+	var calls sync.WaitGroup
+	for i := range 100 {
+		calls.Go(func() {
+			w.update(func(s *handover.State) error {
+				runtime.Gosched()
+				return s.Absences.Exclude(policy.ServerID(fmt.Sprint(i)), func(id policy.ServerID) (roster.Entry, bool) { return roster.Entry{ID: id}, true }, 1)
+			})
+		})
+	}
+	calls.Wait()
+	if n := len(w.state.Absences.Out); n != 100 {
+		t.Errorf("%d of 100 are kept", n)
+	}
+}
+
 // TestRetune: new settings hold for what comes after them, clients may go by the old ones for a while, open requests keep
 // theirs, and settings that cannot be used change nothing.
 func TestRetune(t *testing.T) {
--- a/internal/daemon/stream_test.go
+++ b/internal/daemon/stream_test.go
@@ -245,6 +245,32 @@
 	}
 }
 
+// TestLateEarlyAnswer: an upstream that turns a long request away while it comes is heard, also when that took longer than the
+// client's time, which has not begun.
+func TestLateEarlyAnswer(t *testing.T) {
+	m := newScript()
+	end := make(chan struct{})
+	defer close(end)
+	w := start(t, m, peer(t, func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err == nil {
+			io.CopyN(io.Discard, r, 1<<20)
+			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+			io.Copy(io.Discard, r)
+		}
+		<-end
+	}), "127.0.0.1:1")
+	c := w.connect(t)
+	c.write(strings.Replace(post(len(long)), "9000", "100", 1))
+	c.Write(long[:1<<19])
+	time.Sleep(300 * time.Millisecond)
+	c.Write(long[1<<19:])
+	c.read(t)
+	if o := next(t, "outcome", m.outcomes); o.Status != policy.Full {
+		t.Errorf("outcome %+v, want that of its answer", o)
+	}
+}
+
 // TestBodyBreaks: a long body that stands still, breaks off or is too long ends its request and the attempt that it had.
 func TestBodyBreaks(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -62,8 +62,6 @@
 	writeTime = 2 * time.Second
 	// streamTime is the same once an answer is passed on as it comes, for each piece of it.
 	streamTime = 5 * time.Second
-	// copyBuffer is the size of the pieces.
-	copyBuffer = 32 << 10
 	// lingerTime is how long what a client still sends is read and dropped after its request was turned away, so that
 	// the answer reaches it before a reset does.
 	lingerTime = 300 * time.Millisecond
@@ -755,8 +753,6 @@
 // noAnswer is what is written where no server has answered.
 var noAnswer httpmsg.Answer
 
-var buffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
-
 // stream writes head and an answer that is still coming, and reports whether the client has it whole. If it has not, the
 // connection ends in a way that tells so: short of the length, without the last chunk, or with a reset where only the end
 // of the connection would end the body.
@@ -767,7 +763,7 @@
 		c.SetWriteDeadline(time.Now().Add(streamTime))
 		parts := net.Buffers{first, b}
 		if chunked {
-			parts = net.Buffers{first, append(strconv.AppendInt(size[:0], int64(len(b)), 16), "\r\n"...), b, []byte("\r\n")}
+			parts = net.Buffers{first, httpmsg.AppendChunkHead(size[:0], len(b)), b, []byte("\r\n")}
 		}
 		if len(b) == 0 {
 			parts = net.Buffers{first}
@@ -776,11 +772,11 @@
 		return err
 	}
 	err := piece(head, a.Body)
-	buf := buffers.Get().(*[copyBuffer]byte)
-	defer buffers.Put(buf)
+	buf, release := httpmsg.Buffer()
+	defer release()
 	for err == nil {
 		var n int
-		n, err = a.Rest.Read(buf[:])
+		n, err = a.Rest.Read(buf)
 		if n > 0 {
 			if werr := piece(nil, buf[:n]); werr != nil {
 				err = werr
--- a/internal/httpmsg/body.go
+++ b/internal/httpmsg/body.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http/httputil"
+	"strconv"
 	"sync"
 	"sync/atomic"
 )
@@ -138,6 +139,22 @@
 	return body, err
 }
 
+// AppendChunkHead appends the head of a chunk of n bytes; its end is a line break.
+func AppendChunkHead(b []byte, n int) []byte {
+	return append(strconv.AppendInt(b, int64(n), 16), "\r\n"...)
+}
+
+// copyBuffer is the size of the buffers through which long bodies go.
+const copyBuffer = 32 << 10
+
+var buffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
+// Buffer returns a buffer through which a long body can go, and the function that gives it back.
+func Buffer() (b []byte, release func()) {
+	p := buffers.Get().(*[copyBuffer]byte)
+	return p[:], func() { buffers.Put(p) }
+}
+
 // unexpected makes the end of the input an error within a message.
 func unexpected(err error) error {
 	if errors.Is(err, io.EOF) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,8 +33,6 @@
 	// mostHeld is how much of a long answer is held before it is passed on: what is spoilt shows mostly at its begin, and
 	// until then another attempt can be made.
 	mostHeld = 16 << 10
-	// copyBuffer is the size of the buffers through which long bodies go.
-	copyBuffer = 32 << 10
 	// idleShare is the part of the idle limit after which an idle connection is closed: the upstream closes it
 	// at the limit, and a request that crosses that close is lost to a reset.
 	idleShare = 0.6
@@ -265,8 +263,6 @@
 
 func (e errSource) Unwrap() error { return e.error }
 
-var buffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
-
 // upload writes a body as it comes. It ends with errEarly, and what is not written is not read, as soon as the upstream
 // answers. Every write has sendTime; how long the body takes to come is for its source to bound.
 func (c *conn) upload(m *httpmsg.Message, uploaded func()) error {
@@ -280,7 +276,7 @@
 	piece := func(b []byte) error {
 		c.SetWriteDeadline(time.Now().Add(sendTime))
 		if chunked && len(b) > 0 {
-			c.w.Write(append(strconv.AppendInt(c.number[:0], int64(len(b)), 16), "\r\n"...))
+			c.w.Write(httpmsg.AppendChunkHead(c.number[:0], len(b)))
 		}
 		c.w.Write(b)
 		if chunked && len(b) > 0 {
@@ -291,10 +287,10 @@
 	if err := piece(m.Body); err != nil {
 		return err
 	}
-	buf := buffers.Get().(*[copyBuffer]byte)
-	defer buffers.Put(buf)
+	buf, release := httpmsg.Buffer()
+	defer release()
 	for {
-		n, err := m.Rest.Read(buf[:])
+		n, err := m.Rest.Read(buf)
 		if n > 0 {
 			if c.peek.SomethingCame() {
 				return errEarly
@@ -331,6 +327,9 @@
 func (c *conn) exchange(m *httpmsg.Message, left time.Duration, uploaded func()) (code, minor int, early bool, err error) {
 	if err := c.write(m, left, uploaded); errors.Is(err, errEarly) {
 		early = true
+		if soon := time.Now().Add(answerTime); c.until.Before(soon) { // the upload has outlasted what was left at its begin
+			c.until = soon
+		}
 		c.SetReadDeadline(c.until)
 	} else if err != nil {
 		return 0, 0, false, errNotWritten{err}
