End what waits in a pool that is taken out, and leave its promise to others

Causes: (1) policy.send holds a request until the list names a server, and a report that came after Engine.Retire found none, for ever. (2) A retired pool kept its guarantee of descriptors: two of them had half each, and the new pool's share was 0.

Change: policy.ListEnded tells that no list comes any more; what waits is refused at once. A pool that is taken out goes on for 1.5 s with what it had taken, retries among it, then ends; it gives up its promise at once, promises change all together (Shares.Promise), and nobody waits for a descriptor for more than 500 ms, counted.

--- a/internal/account/recorder.go
+++ b/internal/account/recorder.go
@@ -178,7 +178,7 @@
 		r.sec.Failures++
 	} else {
 		r.sec.Lists++
-		if kind != policy.ListDelta {
+		if kind.Whole() {
 			for _, s := range r.servers {
 				s.State = policy.Gone
 			}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -132,6 +132,8 @@
 	closing   bool          // nothing more is taken
 	drained   chan struct{} // closed once closing and open is 0
 	closed    bool          // the module is told of nothing more
+	retired   bool          // no list will be heeded any more
+	cut       uint64        // refused or failed since
 }
 
 // Origin is the instant of policy.Time 0 for an engine that starts now.
@@ -258,7 +260,7 @@
 	e.lastID++
 	e.open++
 	e.count(r).Taken++
-	r.id, r.result = e.lastID, make(chan Result, 1)
+	r.id, r.result, r.since = e.lastID, make(chan Result, 1), e.Now()
 	e.requests[r.id] = r
 	return nil
 }
@@ -301,6 +303,9 @@
 		return
 	}
 	e.end(r)
+	if e.retired {
+		e.cut++
+	}
 	result.Attempts, result.Last, result.NotRun = len(r.attempts), r.last, r.out == 0 && !r.ran
 	e.give(r, result)
 	e.after = append(e.after, func(policy.Time) { e.forget(r) })
@@ -350,6 +355,7 @@
 // settled takes the end of an attempt.
 func (e *Engine) settled(now policy.Time, a *Attempt, end Ending) {
 	r := a.req
+	a.settled = true
 	r.out--
 	r.last = end.Status
 	r.ran = r.ran || !end.Status.NotRun()
@@ -397,6 +403,7 @@
 	e, r := a.engine, a.req
 	e.event(func(now policy.Time) {
 		deadline, a.sent = time.Now().Add(r.Wait), now
+		a.At(StageAnswer)
 		if !r.ended {
 			e.module.Uploaded(now, r.id, e)
 		}
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -111,7 +111,7 @@
 // tell hands entries of the list to the module.
 func (e *Engine) tell(now policy.Time, kind policy.ListKind, entries []Server) {
 	before := e.endpoints // of those that may change: of a whole list all, else what its entries name
-	if kind != policy.ListDelta {
+	if kind.Whole() {
 		e.endpoints = make(map[policy.ServerID]Endpoint, len(entries))
 	} else {
 		before = make(map[policy.ServerID]Endpoint, len(entries))
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quillfront/policy"
@@ -26,6 +27,7 @@
 	Ended func(result Result, withdrawn bool)
 
 	id       policy.RequestID
+	since    policy.Time // when it was taken
 	result   chan Result // of one place
 	attempts []*Attempt
 	out      int // attempts without an ending
@@ -68,10 +70,12 @@
 	Server   policy.ServerID
 	Deadline time.Time // the module waits no longer
 
-	engine *Engine
-	req    *Request
-	sent   policy.Time
-	begun  policy.Time // when its answer was passed on before its end; zero: it was not
+	engine  *Engine
+	req     *Request
+	sent    policy.Time
+	settled bool        // it has ended
+	begun   policy.Time // when its answer was passed on before its end; zero: it was not
+	stage   atomic.Int32
 
 	mu       sync.Mutex
 	canceled bool
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -29,6 +29,10 @@
 func (e *Engine) Usable() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.usable()
+}
+
+func (e *Engine) usable() bool {
 	for _, s := range e.listed {
 		if e.asCounts(e.absences, s).State == policy.Ready {
 			return true
@@ -37,14 +41,15 @@
 	return false
 }
 
-// Retire has every listed server count as draining, and heeds no list from now on: nothing new goes to any.
+// Retire has every listed server count as draining, and heeds no list from now on: nothing new goes to any, and what waits for one is
+// answered at once.
 func (e *Engine) Retire() {
 	e.event(func(now policy.Time) {
 		if e.stopWatch != nil {
 			e.stopWatch()
 			e.stopWatch = nil
 		}
-		e.source = nil
+		e.source, e.retired = nil, true
 		var all []Server
 		for _, id := range slices.Sorted(maps.Keys(e.listed)) {
 			s := e.listed[id]
@@ -52,10 +57,24 @@
 			e.listed[id] = s
 			all = append(all, e.asCounts(e.absences, s))
 		}
-		e.tell(now, policy.ListDelta, all)
+		e.tell(now, policy.ListEnded, all)
 	})
 }
 
+// Cut returns how many requests have been refused or have failed since Retire.
+func (e *Engine) Cut() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cut
+}
+
+// Open returns how many requests have no result yet.
+func (e *Engine) Open() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.open
+}
+
 // Held returns how many requests are kept: open ones, and ended ones with attempts that are still out.
 func (e *Engine) Held() int {
 	e.mu.Lock()
@@ -143,7 +162,7 @@
 
 // note notes a message about the list, and returns its entries as they count.
 func (e *Engine) note(kind policy.ListKind, l []Server) []Server {
-	if kind != policy.ListDelta {
+	if kind.Whole() {
 		clear(e.listed)
 	}
 	entries := make([]Server, len(l))
--- a/internal/httpfront/whole.go
+++ b/internal/httpfront/whole.go
@@ -58,6 +58,7 @@
 	m       *httpmsg.Message
 	method  string
 	length  int64 // of its body; negative: not told
+	held    int64 // bytes that its body has of the room
 	expects bool  // the client waits to be told to send it
 
 	mu    sync.Mutex // of writes before the final answer
@@ -116,7 +117,7 @@
 	if q.Call, err = s.whole.Router.Route(&asked); err != nil {
 		return nil, last, err
 	}
-	defer q.Taken()
+	defer func() { q.Taken() }()
 	r := q.Request
 	if retried := c.head.Values("X-Retried"); len(retried) == 1 {
 		r.Retry = retried[0] == "1"
@@ -128,6 +129,14 @@
 	if err := s.wholeBody(c, q); err != nil {
 		return nil, last, err
 	}
+	q.Call = s.whole.Router.Again(q.Call, q.held, func() *router.Asked { // its head is no longer there
+		return &router.Asked{Method: q.m.Method, Host: q.m.Host, Target: q.m.Target, Header: httpmsg.ParseHeader(q.m.Lines).Values}
+	})
+	q.m.Terms.Judge = q.Judge
+	if room, n := q.Room, q.held; n > 0 {
+		q.Request.Release = func() { room.Release(n) }
+	}
+	r = q.Request
 	if !s.enter(c, serving) {
 		err = errGone
 	} else if err = q.Engine.Take(r, q.Engine.Now()); errors.Is(err, engine.ErrClosed) || errors.Is(err, engine.ErrUnknownClass) {
@@ -296,7 +305,7 @@
 				return bodyError(err)
 			}
 			if t := c.body.Trailer(); t == nil {
-				q.Request.Release = func() { q.Room.Release(n) }
+				q.held = n
 				return nil
 			}
 			q.Room.Release(n) // what has a trailer goes in chunks, and those go as they come
--- a/internal/httpmsg/message.go
+++ b/internal/httpmsg/message.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +26,12 @@
 	Terms   *Terms // nil: it is a message of the platform's protocol
 }
 
+// String is the method and the target without its query, which may hold what is nobody else's business.
+func (m *Message) String() string {
+	path, _, _ := strings.Cut(m.Target, "?")
+	return m.Method + " " + path
+}
+
 // Terms are what a message of plain HTTP asks of whoever carries it out: its answers are of every status, and go on as they come.
 type Terms struct {
 	// Judge says what an answer comes to, from its status and the values of its head.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -85,8 +85,10 @@
 // KeyedOf is the class of those whose repeats servers drop by their key.
 func KeyedOf(class string) string { return class + "+keyed" }
 
+// MostClasses bounds the classes of a pool.
+const MostClasses = 100
+
 const (
-	mostClasses  = 100
 	mostAttempts = 16
 	askEvery     = 10 * time.Second
 	probeTariff  = 0.05 // prices a probe so that a request pays for one at most
@@ -136,8 +138,8 @@
 		return p, fmt.Errorf("memory: %d is negative", c.Memory)
 	case c.LoadPort < 0 || c.LoadPort > 65535:
 		return p, fmt.Errorf("load_port: %d is outside 0 to 65535", c.LoadPort)
-	case len(c.Classes) == 0 || len(c.Classes) > mostClasses:
-		return p, fmt.Errorf("classes: %d of them, want 1 to %d", len(c.Classes), mostClasses)
+	case len(c.Classes) == 0 || len(c.Classes) > MostClasses:
+		return p, fmt.Errorf("classes: %d of them, want 1 to %d", len(c.Classes), MostClasses)
 	}
 	for i, k := range c.Classes {
 		effect := policy.Unsafe
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// late reports whether p has been retired.
+func (p *Pool) late() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retired != nil
+}
+
 // Retire lets no request into p from now on, and returns what is closed once those on their way have come to the engine. It is called
 // once, when no table leads to p any more.
 func (p *Pool) Retire() <-chan struct{} {
@@ -90,6 +97,9 @@
 	Judge   func(code int, header func(name string) []string) routes.Judgment
 	Room    Room
 	Taken   func() // called once, when the engine has the request or nobody will give it to it
+	// Late reports whether the table that led here has been replaced by one that does not: who has not given the request to the engine yet
+	// asks again.
+	Late func() bool
 }
 
 // Router goes by a table of routes, which can be replaced while it is asked. Its methods may be called from many goroutines at once.
@@ -255,6 +265,29 @@
 	}
 }
 
+// Again routes a request anew that has not come to its engine yet and whose call is late, as its body was long in coming. It returns the call
+// to go on with, which is c where c is not late or nothing else takes the request: its pool then refuses it as long as that is true. held
+// bytes of its body move to the other pool's room, and what the request has been told of itself with them.
+func (r *Router) Again(c *Call, held int64, asked func() *Asked) *Call {
+	for c.Late() {
+		next, err := r.Route(asked())
+		if err != nil {
+			return c
+		}
+		if held > 0 && !next.Room.TryAcquire(held) {
+			next.Taken()
+			return c
+		}
+		if held > 0 {
+			c.Room.Release(held)
+		}
+		next.Request.Payload, next.Request.Retry, next.Request.Upload = c.Request.Payload, c.Request.Retry, c.Request.Upload
+		c.Taken()
+		c = next
+	}
+	return c
+}
+
 // errRetired tells that the table has just been replaced.
 var errRetired = errors.New("the pool takes no more requests")
 
@@ -301,7 +334,7 @@
 	}
 	answers := found.Answers
 	return &Call{
-		Route: found.Name, Pool: name, Engine: p.Engine, Room: p.Room, Taken: p.leave,
+		Route: found.Name, Pool: name, Engine: p.Engine, Room: p.Room, Taken: p.leave, Late: p.late,
 		Request: &engine.Request{Class: class, Tenant: tenant, Key: key, Wait: k.Deadline},
 		Judge: func(code int, header func(string) []string) routes.Judgment {
 			return answers.Judge(code, header, time.Now())
--- a/internal/services/http.go
+++ b/internal/services/http.go
@@ -29,6 +29,9 @@
 	lateConns = 100 * time.Millisecond
 	// lookEvery is how often a pool that has been taken out is looked at for its last requests.
 	lookEvery = 20 * time.Millisecond
+	// graceTime is how long what a pool had taken when it was taken out may still be sent and tried again there: nothing new may come to a
+	// server later than 2 s after it was to get none. What is not out at a server by then is answered at once.
+	graceTime = 1500 * time.Millisecond
 )
 
 // web is the pools that serve HTTP by routes, and the router between them and their fronts.
@@ -45,16 +48,31 @@
 	mu    sync.Mutex
 	pools map[string]*webPool
 	old   []*webPool // taken out, with requests that are still to end
+	ends  Ends       // of those that have ended
+}
+
+// Ends counts how pools that were taken out have ended.
+type Ends struct {
+	Pools uint64 // that have ended
+	Cut   uint64 // requests that were answered without a server's answer as their pool was over
 }
 
 // webPool is a pool of HTTP servers.
 type webPool struct {
 	*pool.Pool
-	cfg       pool.Config
+	name      string
+	cfg       pool.Config // as it was taken over last
 	transport *webTransport
 	conns     *sockets.Part
 	room      *sockets.Part
 	route     *router.Pool
+	former    []former // under which requests may still be on their way to the engine
+}
+
+// former is a description of a pool that was replaced by another, with what requests go by that were routed before.
+type former struct {
+	classes []pool.Class
+	through <-chan struct{} // closed once all those have come to the engine
 }
 
 // webTransport counts what each server has of this process, which is its load where it does not tell it.
@@ -148,39 +166,116 @@
 		}
 		next[c.Name] = p
 	}
-	share := int64(len(wanted))
 	for _, c := range wanted {
 		p := next[c.Name]
-		p.conns.Guarantee(or(int64(c.Descriptors), w.conns.Total()/2/share))
-		p.room.Guarantee(or(c.Memory, w.bodies.Total()/2/share))
-		if !reflect.DeepEqual(p.cfg, c) {
-			if err := p.Reload(c); err != nil {
-				return fresh, fmt.Errorf("[[pools]] %s: %w", c.Name, err)
-			}
-			p.transport.Reconfigure(settingsOf(c))
-			p.transport.cfg.Store(&c)
-			p.cfg = c
+		if reflect.DeepEqual(p.cfg, c) {
+			continue
 		}
+		if err := p.takeOver(c); err != nil {
+			return fresh, fmt.Errorf("[[pools]] %s: %w", c.Name, err)
+		}
+		p.transport.Reconfigure(settingsOf(c))
+		p.transport.cfg.Store(&c)
+		p.cfg = c
 	}
-	lead := map[string]*router.Pool{}
+	lead, replaced := map[string]*router.Pool{}, map[*webPool]*router.Pool{}
 	for name, p := range next {
+		lead[name] = p.route
 		if p.route == nil || !reflect.DeepEqual(p.route.Config, p.cfg) {
-			p.route = &router.Pool{Engine: p.Engine, Config: p.cfg, Room: p.room}
+			lead[name] = &router.Pool{Engine: p.Engine, Config: p.cfg, Room: p.room}
+			replaced[p] = p.route
 		}
-		lead[name] = p.route
 	}
 	if err := w.router.Set(list, lead); err != nil {
 		return fresh, err
 	}
+	for p, before := range replaced {
+		p.route = lead[p.name]
+		if before != nil {
+			w.replace(p, before)
+		}
+	}
+	places, bytes := map[*sockets.Part]int64{}, map[*sockets.Part]int64{}
 	for name, p := range w.pools {
-		if next[name] != p {
+		if next[name] != p { // else those that come and those that go would be promised all there is, and nobody could borrow
+			places[p.conns], bytes[p.room] = 0, 0
 			w.retire(p)
 		}
 	}
+	for _, c := range wanted {
+		p := next[c.Name]
+		places[p.conns] = or(int64(c.Descriptors), w.conns.Total()/2/int64(len(wanted)))
+		bytes[p.room] = or(c.Memory, w.bodies.Total()/2/int64(len(wanted)))
+	}
+	w.conns.Promise(places)
+	w.bodies.Promise(bytes)
 	w.pools = next
 	return fresh, nil
 }
 
+// takeOver makes c what p is from now on. Classes that c lacks stay for requests that are on their way by a former description, as far as there
+// is room for them. Called with the lock of its web held.
+func (p *webPool) takeOver(c pool.Config) error {
+	c.Classes = slices.Clone(c.Classes)
+	for _, f := range p.former {
+		c.Classes = addClasses(c.Classes, f.classes)
+	}
+	if p.route != nil && !reflect.DeepEqual(p.route.Config, c) {
+		c.Classes = addClasses(c.Classes, p.route.Config.Classes)
+	}
+	return p.Reload(c)
+}
+
+// addClasses adds those of more whose names are not there, up to as many as a pool may have.
+func addClasses(to, more []pool.Class) []pool.Class {
+	for _, k := range more {
+		if len(to) < pool.MostClasses && !slices.ContainsFunc(to, func(o pool.Class) bool { return o.Name == k.Name }) {
+			to = append(to, k)
+		}
+	}
+	return to
+}
+
+// replace lets nothing new in by a former description of p, and forgets its classes once all that was routed by it has come to the engine.
+// Called with the lock held.
+func (w *web) replace(p *webPool, before *router.Pool) {
+	f := former{before.Config.Classes, before.Retire()}
+	p.former = append(p.former, f)
+	w.work.Go(func() {
+		if !wait(w, f.through) {
+			return
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		p.former = slices.DeleteFunc(p.former, func(o former) bool { return o.through == f.through })
+		if w.pools[p.name] != p {
+			return
+		}
+		if err := p.takeOver(p.cfg); err != nil { // it was taken over before, with more
+			w.log.Error("pool", "pool", p.cfg.Name, "err", err)
+		}
+	})
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// wait waits for done, and reports false if everything ends before.
+func wait[T any](w *web, done <-chan T) bool {
+	select {
+	case <-done:
+		return true
+	case <-w.ctx.Done():
+		return false
+	}
+}
+
 func or(n, otherwise int64) int64 {
 	if n > 0 {
 		return n
@@ -194,7 +289,7 @@
 
 func (w *web) open(c pool.Config) (*webPool, error) {
 	log := w.log.With("pool", c.Name)
-	p := &webPool{cfg: c, conns: w.conns.Part(0), room: w.bodies.Part(0)}
+	p := &webPool{name: c.Name, cfg: c, conns: w.conns.Part(), room: w.bodies.Part()}
 	lender := w.budget.Lend(p.conns, w.makeRoomFor(p))
 	p.transport = &webTransport{Transport: upstream.New(settingsOf(c), lender, log)}
 	p.transport.HoldHeads(config.ServerHead)
@@ -219,7 +314,7 @@
 func (w *web) makeRoom(but *webPool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, p := range slices.Concat(slices.Collect(maps.Values(w.pools)), w.old) {
+	for _, p := range w.both() {
 		if used, promised := p.conns.Used(); but != nil && (p == but || used <= promised) {
 			continue
 		}
@@ -230,29 +325,39 @@
 	return false
 }
 
-// retire ends a pool that no route leads to any more, once its last request has ended: its servers get nothing new from now on, and open
-// requests end where they began. Called with the lock held.
+// retire ends a pool that no route leads to any more, once its last request has ended: its servers get nothing but what it had taken, for
+// graceTime at most, and open requests end where they began. Called with the lock held.
 func (w *web) retire(p *webPool) {
 	w.log.Info("pool ends", "pool", p.cfg.Name, "held", p.Held())
 	w.old = append(w.old, p)
+	through := []<-chan struct{}{p.route.Retire()}
+	for _, f := range p.former {
+		through = append(through, f.through)
+	}
 	w.work.Go(func() {
-		select {
-		case <-p.route.Retire():
-		case <-w.ctx.Done():
-		}
-		p.Retire()
+		over := time.Now().Add(graceTime)
 		tick := time.NewTicker(lookEvery)
 		defer tick.Stop()
-		for p.Held() > 0 && w.ctx.Err() == nil {
-			select {
-			case <-tick.C:
-			case <-w.ctx.Done():
+		until := func(done func() bool) {
+			for !done() && wait(w, tick.C) {
 			}
 		}
+		until(func() bool {
+			through = slices.DeleteFunc(through, isClosed)
+			return len(through) == 0 && p.Open() == 0 || time.Now().After(over)
+		})
+		p.Retire()
+		p.transport.Close() // what is idle is of no use any more
+		for _, t := range through {
+			wait(w, t)
+		}
+		until(func() bool { return p.Held() == 0 })
 		w.end(p)
 		w.mu.Lock()
+		defer w.mu.Unlock()
 		w.old = slices.DeleteFunc(w.old, func(o *webPool) bool { return o == p })
-		w.mu.Unlock()
+		w.ends.Pools++
+		w.ends.Cut += p.Cut()
 	})
 }
 
@@ -298,10 +403,7 @@
 
 // Drain takes no more requests, and waits until all that were taken have their answers or ctx ends.
 func (w *Web) Drain(ctx context.Context) error {
-	w.web.mu.Lock()
-	pools := slices.Collect(maps.Values(w.web.pools))
-	w.web.mu.Unlock()
-	for _, p := range pools {
+	for _, p := range w.web.all() {
 		if err := p.Drain(ctx); err != nil {
 			return err
 		}
@@ -429,11 +531,29 @@
 		}
 	}
 	if s.web != nil {
-		s.web.mu.Lock()
-		defer s.web.mu.Unlock()
-		for _, p := range s.web.pools {
+		for _, p := range s.web.all() { // what is taken out may still send what it had taken
 			all = append(all, p.Engine)
 		}
 	}
 	return all
 }
+
+// both returns all pools, those that still end among them. Called with the lock held.
+func (w *web) both() []*webPool { return slices.Concat(slices.Collect(maps.Values(w.pools)), w.old) }
+
+// all is both without the lock.
+func (w *web) all() []*webPool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.both()
+}
+
+// waiting returns the requests of all pools that have waited for longer than d.
+func (w *web) waiting(d time.Duration) (all []Waiting) {
+	for _, p := range w.all() {
+		for _, r := range p.Waiting(d) {
+			all = append(all, Waiting{p.name, r})
+		}
+	}
+	return all
+}
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -11,6 +11,7 @@
 	"reflect"
 	"slices"
 	"sync"
+	"time"
 
 	"quillfront/internal/config"
 	"quillfront/internal/engine"
@@ -330,3 +331,35 @@
 	}
 	return all
 }
+
+// Waiting is a request that waits at a service or a pool.
+type Waiting struct {
+	Pool string
+	engine.Waiting
+}
+
+// Waiting returns the requests of all services and pools that have waited for longer than d, pools that are being ended among them.
+func (s *Services) Waiting(d time.Duration) (all []Waiting) {
+	if s.web != nil {
+		all = s.web.waiting(d)
+	}
+	for _, v := range s.all {
+		if v.pool == nil {
+			continue
+		}
+		for _, r := range v.pool.Waiting(d) {
+			all = append(all, Waiting{v.poolName, r})
+		}
+	}
+	return all
+}
+
+// Ends returns how pools that were taken out have ended so far.
+func (s *Services) Ends() Ends {
+	if s.web == nil {
+		return Ends{}
+	}
+	s.web.mu.Lock()
+	defer s.web.mu.Unlock()
+	return s.web.ends
+}
--- a/internal/siting/siting.go
+++ b/internal/siting/siting.go
@@ -78,7 +78,7 @@
 	if kind == policy.ListFailed {
 		return
 	}
-	if kind != policy.ListDelta {
+	if kind.Whole() {
 		clear(h.list)
 	}
 	for _, s := range entries {
--- a/internal/sockets/shares.go
+++ b/internal/sockets/shares.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Shares divides a number of places, of descriptors or of bytes, among parts that each have some guaranteed and may borrow what no other
@@ -22,6 +23,13 @@
 	of        *Shares
 	guarantee int64
 	used      int64
+	waited    Waits
+}
+
+// Waits counts those who found no place free.
+type Waits struct {
+	Got  uint64 // one in the end
+	None uint64 // within their time, or within mostWait
 }
 
 // NewShares returns shares of total places.
@@ -32,32 +40,36 @@
 // Total is how many places there are.
 func (s *Shares) Total() int64 { return s.total }
 
-// Part adds a part. What it is guaranteed is bounded by what the others have left of all places.
-func (s *Shares) Part(guarantee int64) *Part {
+// Part adds a part, which is guaranteed nothing.
+func (s *Shares) Part() *Part {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := &Part{of: s}
 	s.parts[p] = struct{}{}
-	s.promise(p, guarantee)
 	return p
 }
 
-func (s *Shares) promise(p *Part, guarantee int64) {
-	left := s.total
-	for o := range s.parts {
-		if o != p {
-			left -= o.guarantee
+// Promise changes what parts are guaranteed, all at once: whatever order they come in, one that gives up its guarantee leaves it to the
+// others. The rest of the parts keep theirs. Where more is wanted than there is, each gets its part of that.
+func (s *Shares) Promise(wanted map[*Part]int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left, sum := s.total, int64(0)
+	for p := range s.parts {
+		if _, changes := wanted[p]; !changes {
+			left -= p.guarantee
 		}
 	}
-	p.guarantee = max(0, min(guarantee, left))
-}
-
-// Guarantee changes what p is guaranteed.
-func (p *Part) Guarantee(n int64) {
-	p.of.mu.Lock()
-	defer p.of.mu.Unlock()
-	p.of.promise(p, n)
-	p.of.wake()
+	for _, n := range wanted {
+		sum += max(n, 0)
+	}
+	for p, n := range wanted {
+		if n = max(n, 0); sum > left {
+			n = int64(float64(n) * float64(max(left, 0)) / float64(sum))
+		}
+		p.guarantee = n
+	}
+	s.wake()
 }
 
 // Close takes p out of the shares: what it still has in use is given back place by place.
@@ -149,6 +161,13 @@
 	return p.used, p.guarantee
 }
 
+// Waits returns how many have waited for places of p.
+func (p *Part) Waits() Waits {
+	p.of.mu.Lock()
+	defer p.of.mu.Unlock()
+	return p.waited
+}
+
 // Lender is a part of the descriptors for servers of a budget. Where another part's idle connections hold what this one is to have,
 // makeRoom is asked to close them.
 type Lender struct {
@@ -163,20 +182,25 @@
 // Lend returns what the connections of one pool take their descriptors from.
 func (s *Budget) Lend(p *Part, makeRoom func() bool) *Lender { return &Lender{s, p, makeRoom} }
 
-// Acquire takes a descriptor, and returns the function that gives it back.
+// mostWait is how long one may wait for a descriptor, whatever time there is to connect: it may be that nobody gives one back, and another
+// server, to which a connection is idle, may have the request.
+const mostWait = 500 * time.Millisecond
+
+// Acquire takes a descriptor, and returns the function that gives it back. It waits for mostWait at most.
 func (l *Lender) Acquire(ctx context.Context) (release func(), err error) {
-	for !l.Part.TryAcquire(1) {
-		if l.makeRoom() {
-			continue
-		}
-		wait, cancel := context.WithTimeout(ctx, retry)
-		err := l.Part.Acquire(wait, 1)
-		cancel()
+	if !l.Part.TryAcquire(1) {
+		ctx, cancel := context.WithTimeout(ctx, mostWait)
+		defer cancel()
+		err := l.wait(ctx)
+		l.of.mu.Lock()
 		if err == nil {
-			break
+			l.waited.Got++
+		} else {
+			l.waited.None++
 		}
-		if ctx.Err() != nil {
-			return nil, ErrNone
+		l.of.mu.Unlock()
+		if err != nil {
+			return nil, err
 		}
 	}
 	give, err := l.Budget.Acquire(ctx)
@@ -187,6 +211,25 @@
 	return sync.OnceFunc(func() { give(); l.Part.Release(1) }), nil
 }
 
+// wait waits for a place.
+func (l *Lender) wait(ctx context.Context) error {
+	for !l.Part.TryAcquire(1) {
+		if l.makeRoom() {
+			continue
+		}
+		again, cancel := context.WithTimeout(ctx, retry)
+		err := l.Part.Acquire(again, 1)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ErrNone
+		}
+	}
+	return nil
+}
+
 // Scarce reports whether idle connections should not be kept.
 func (l *Lender) Scarce() bool {
 	used, guarantee := l.Used()
--- a/internal/sockets/shares_test.go
+++ b/internal/sockets/shares_test.go
@@ -15,9 +15,12 @@
 		total := rapid.Int64Range(1, 50).Draw(t, "total")
 		s := NewShares(total)
 		var parts []*Part
+		wanted := map[*Part]int64{}
 		for i := range rapid.IntRange(1, 5).Draw(t, "parts") {
-			parts = append(parts, s.Part(rapid.Int64Range(0, 30).Draw(t, string(rune('a'+i)))))
+			parts = append(parts, s.Part())
+			wanted[parts[i]] = rapid.Int64Range(0, 30).Draw(t, string(rune('a'+i)))
 		}
+		s.Promise(wanted)
 		used := make([]int64, len(parts))
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, len(parts)-1).Draw(t, "part")
@@ -49,7 +52,8 @@
 		}
 	})
 	s := NewShares(2)
-	a, b := s.Part(1), s.Part(1)
+	a, b := s.Part(), s.Part()
+	s.Promise(map[*Part]int64{a: 1, b: 1})
 	if !a.TryAcquire(1) || a.TryAcquire(1) {
 		t.Error("a part takes what the other was promised")
 	}
@@ -57,6 +61,19 @@
 	if !a.TryAcquire(1) {
 		t.Error("what a part that is gone was promised is not lent")
 	}
+	// One that gives up its promise leaves it to another that comes for it in the same step, in whatever order they stand.
+	c := s.Part()
+	for range 9 {
+		s.Promise(map[*Part]int64{a: 0, c: 2})
+		if _, promised := c.Used(); promised != 2 {
+			t.Fatalf("%d promised of the 2 that were given up", promised)
+		}
+		s.Promise(map[*Part]int64{a: 3, c: 1})
+		if _, promised := a.Used(); promised != 1 { // three quarters of two
+			t.Fatalf("%d promised of 2 where 3 and 1 are wanted", promised)
+		}
+	}
+	c.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 	defer cancel()
 	if err := a.Acquire(ctx, 1); !errors.Is(err, context.DeadlineExceeded) {
@@ -70,3 +87,28 @@
 		t.Error(err)
 	}
 }
+
+// TestNobodyGivesBack: who waits for a descriptor that nobody gives back hears so long before the time it has, and is counted.
+func TestNobodyGivesBack(t *testing.T) {
+	b := New(Spare + 4)
+	s := b.ServerShares()
+	one, other := s.Part(), s.Part()
+	if !one.TryAcquire(s.Total()) {
+		t.Fatal("not all places can be had")
+	}
+	l := b.Lend(other, func() bool { return false })
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if _, err := l.Acquire(ctx); !errors.Is(err, ErrNone) || ctx.Err() != nil {
+		t.Errorf("%v, %v", err, ctx.Err())
+	}
+	time.AfterFunc(20*time.Millisecond, func() { one.Release(1) })
+	release, err := l.Acquire(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	release()
+	if w := other.Waits(); w != (Waits{Got: 1, None: 1}) {
+		t.Errorf("%+v", w)
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -219,8 +219,8 @@
 	}
 }
 
-// dial opens a connection.
-func (p *pool) dial(ctx context.Context, to engine.Endpoint, deadline time.Time) (*conn, error) {
+// dial opens a connection. connecting is called once it has a descriptor for it.
+func (p *pool) dial(ctx context.Context, to engine.Endpoint, deadline time.Time, connecting func()) (*conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(time.Duration(p.dialTimeout.Load()))))
 	defer cancel()
 	release, err := p.sockets.Acquire(ctx)
@@ -228,6 +228,7 @@
 		return nil, err
 	}
 	p.dials.Add(1)
+	connecting()
 	var d net.Dialer
 	d.KeepAlive = -1 // idle connections do not live long enough for it
 	nc, err := d.DialContext(ctx, "tcp", to.Addr)
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -127,6 +127,7 @@
 		c.Close()
 		return engine.Ending{Status: policy.Canceled}
 	}
+	a.At(engine.StageSend)
 	m, _ := a.Payload().(*httpmsg.Message)
 	if m != nil && m.Terms != nil {
 		return t.whole(a, c, m)
@@ -233,7 +234,8 @@
 	if !a.OnCancel(cancel) {
 		return nil, context.Canceled
 	}
-	return t.pool.dial(ctx, to, a.Deadline)
+	a.At(engine.StageDescriptor)
+	return t.pool.dial(ctx, to, a.Deadline, func() { a.At(engine.StageConnect) })
 }
 
 // broken is the ending of an attempt that got no whole answer.
@@ -261,7 +263,7 @@
 	c := t.pool.reuse(to, until)
 	if c == nil {
 		var err error
-		c, err = t.pool.dial(ctx, to, until)
+		c, err = t.pool.dial(ctx, to, until, func() {})
 		if errors.Is(err, sockets.ErrNone) {
 			return policy.Moot, nil
 		}
--- a/internal/upstream/whole.go
+++ b/internal/upstream/whole.go
@@ -69,6 +69,9 @@
 		x.deadline = time.Now().Add(answerTime)
 		c.SetReadDeadline(x.deadline)
 	}
+	if m.Rest == nil {
+		a.At(engine.StageAnswer)
+	}
 	code, minor, err := x.answer()
 	if err != nil {
 		c.Close()
--- a/policy/api.go
+++ b/policy/api.go
@@ -115,8 +115,12 @@
 	ListFull                   // everything; absent servers are gone
 	ListCached                 // everything, perhaps out of date
 	ListFailed                 // a call failed or the subscription broke
+	ListEnded                  // changed entries only, and nothing will be told any more
 )
 
+// Whole reports whether servers that a list does not name are gone.
+func (k ListKind) Whole() bool { return k == ListFull || k == ListCached }
+
 // Request is a client's request.
 type Request struct {
 	ID      RequestID
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -84,6 +84,7 @@
 	sweeping   bool    // a timer for sweep is out
 	watching   bool
 	watchFails int
+	over       bool // no list will be told any more
 }
 
 // New returns a Balancer for cfg; seed feeds its private random numbers.
@@ -142,7 +143,8 @@
 		act.SetTimer(pause/2+b.jitter(pause), "watch")
 		return
 	}
-	if kind != ListDelta {
+	b.over = b.over || kind == ListEnded
+	if kind.Whole() {
 		for _, s := range b.servers {
 			s.State = Gone
 		}
@@ -170,8 +172,8 @@
 		b.watchFails = 0
 	}
 	for _, id := range sortedKeys(b.requests) { // requests held for want of a server
-		if r := b.requests[id]; !r.ended && len(r.attempts) == 0 && r.patience == 0 {
-			b.send(now, r, b.set(now, r), act)
+		if r := b.requests[id]; !r.ended && len(r.attempts) == 0 && (r.patience == 0 || b.over) {
+			b.dispatch(now, r, b.set(now, r), act)
 		}
 	}
 }
@@ -576,9 +578,10 @@
 	b.finish(now, r, true, act)
 }
 
-// dispatch sends r, or turns it away where no server of its site may have it: it would wait for nothing until its time is up.
+// dispatch sends r, or turns it away where no server may have it: it would wait for nothing until its time is up. One that ran before may be
+// awaited by its zone or cell.
 func (b *Balancer) dispatch(now Time, r *request, set []*server, act Actions) {
-	if !b.send(now, r, set, act) && r.sites != nil {
+	if !b.send(now, r, set, act) && (r.sites != nil || b.over || len(r.past) == 0) {
 		b.turnAway(now, r, act)
 	}
 }
@@ -606,7 +609,7 @@
 		s = b.pick(now, r, b.ready)
 	}
 	if s == nil {
-		return len(r.attempts) == 0 && len(b.ready) == 0 // hold until the list names a server
+		return len(r.attempts) == 0 && len(b.ready) == 0 && !b.over // hold until the list names a server
 	}
 	if c := b.coldTurn(now, r); c != nil && len(r.attempts) == 0 && b.maySend(now, r, c) {
 		s = c
--- a/pools.go
+++ b/pools.go
@@ -228,11 +228,12 @@
 		return nil, &RequestError{http.StatusBadRequest, "no host, or not one that can be read"}
 	}
 	method := cmp.Or(q.Method, http.MethodGet)
-	call, err := p.web.Router().Route(&router.Asked{Method: method, Host: host, Target: target, Header: q.Header.Values})
+	asked := &router.Asked{Method: method, Host: host, Target: target, Header: q.Header.Values}
+	call, err := p.web.Router().Route(asked)
 	if err != nil {
 		return nil, requestError(err)
 	}
-	defer call.Taken()
+	defer func() { call.Taken() }()
 	r := call.Request
 	m := &httpmsg.Message{Method: method, Target: target, Host: host, Lines: slices.Clone(extra)}
 	m.Lines = httpmsg.AppendHeader(m.Lines, q.Header, func(name string) bool { return strings.EqualFold(name, "Host") })
@@ -256,6 +257,8 @@
 		} else if err != nil {
 			return nil, err
 		}
+		call = p.web.Router().Again(call, length, func() *router.Asked { return asked })
+		r, m.Terms.Judge = call.Request, call.Judge
 		r.Release, done = release, true
 		if err := call.Engine.Take(r, call.Engine.Now()); err != nil {
 			done = false
