Send one at a time to cold servers where none is warm, and tell operators what waits

Change: relief sends to a cold server with nothing of this sidecar's where none is warm. GET /api/waiting tells what requests wait for; figures for waits for descriptors, for pools that ended and for what they cut.

--- a/cmd/quillfront/own_test.go
+++ b/cmd/quillfront/own_test.go
@@ -115,7 +115,7 @@
 		}
 		defer resp.Body.Close()
 		text, _ := io.ReadAll(resp.Body)
-		for _, figure := range []string{`svc_service_requests_total{class="x+read",kind="served",service="fleet"}`, `svc_route_requests_total{route="x",service="front"}`, `svc_service_descriptors{service="fleet"}`} {
+		for _, figure := range []string{`svc_service_requests_total{class="x+read",kind="served",service="fleet"}`, `svc_route_requests_total{route="x",service="front"}`, `svc_service_descriptors{service="fleet"}`, `svc_service_descriptor_waits_total{result="none",service="fleet"} 0`, `svc_pools_ended_requests_total{service="front"} 0`} {
 			if what == "telemetry" && !strings.Contains(string(text), figure) {
 				t.Errorf("no %s in the figures:\n%s", figure, text)
 			}
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -11,6 +11,7 @@
 	"quillfront/internal/engine"
 	"quillfront/internal/handover"
 	"quillfront/internal/management"
+	"quillfront/internal/services"
 	"quillfront/internal/telemetry"
 	"quillfront/policy"
 	"quillfront/sites"
@@ -190,6 +191,23 @@
 // Metrics is a method of management.Operated.
 func (o operated) Metrics() http.Handler { return telemetry.Handler(o) }
 
+// Waiting is a method of management.Operated.
+func (o operated) Waiting(d time.Duration) []string {
+	var all []services.Waiting
+	for _, w := range o.engine.Waiting(d) {
+		all = append(all, services.Waiting{Pool: "platform", Waiting: w})
+	}
+	return linesOf(append(all, o.services.Waiting(d)...))
+}
+
+// linesOf tells requests that wait, one a line.
+func linesOf(all []services.Waiting) (lines []string) {
+	for _, w := range all {
+		lines = append(lines, fmt.Sprintf("%v pool=%s class=%s attempts=%d %q waits for %s", w.Age.Round(time.Millisecond), w.Pool, w.Class, w.Attempts, w.What, w))
+	}
+	return lines
+}
+
 // Counts is a method of telemetry.Source.
 func (o operated) Counts() map[string]engine.Counts { return o.engine.Counts() }
 
--- a/internal/daemon/own.go
+++ b/internal/daemon/own.go
@@ -180,6 +180,9 @@
 // Metrics is a method of management.Operated.
 func (o ownOperated) Metrics() http.Handler { return telemetry.Handler(o) }
 
+// Waiting is a method of management.Operated.
+func (o ownOperated) Waiting(d time.Duration) []string { return linesOf(o.services.Waiting(d)) }
+
 // Counts is a method of telemetry.Source.
 func (o ownOperated) Counts() map[string]engine.Counts { return nil }
 
--- a/internal/management/server.go
+++ b/internal/management/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -24,6 +25,9 @@
 	// mostHead bounds the head of a call, in bytes, and mostBody its body, which is read and dropped.
 	mostHead = 8 << 10
 	mostBody = 64 << 10
+	// defaultOver is how long a request has waited at least that is told of unless the call says otherwise, and mostWaiting how many are.
+	defaultOver = 500 * time.Millisecond
+	mostWaiting = 200
 )
 
 // ErrNotReady tells that the sidecar does not serve at present.
@@ -37,6 +41,7 @@
 	Evacuate() error                  // begins the drain
 	Rejoin() error                    // ends it
 	Metrics() http.Handler            // nil: there are none
+	Waiting(time.Duration) []string   // requests that have waited for longer, and for what
 }
 
 // Server serves the operators.
@@ -70,6 +75,24 @@
 	call("POST /api/include/{id}", "back", func(q *http.Request) error { return o.Include(id(q)) })
 	call("POST /api/evacuate", "draining", func(*http.Request) error { return o.Evacuate() })
 	call("POST /api/rejoin", "serving", func(*http.Request) error { return o.Rejoin() })
+	mux.HandleFunc("GET /api/waiting", func(w http.ResponseWriter, q *http.Request) {
+		over := defaultOver
+		if text := q.FormValue("over"); text != "" {
+			var err error
+			if over, err = time.ParseDuration(text); err != nil || over < 0 {
+				http.Error(w, fmt.Sprintf("over: %.40q is no time such as 500ms", text), http.StatusBadRequest)
+				return
+			}
+		}
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		all := o.Waiting(over)
+		for _, line := range all[:min(len(all), mostWaiting)] {
+			fmt.Fprintln(w, line)
+		}
+		if more := len(all) - mostWaiting; more > 0 {
+			fmt.Fprintf(w, "and %d more\n", more)
+		}
+	})
 	if h := o.Metrics(); h != nil {
 		mux.Handle("GET /api/telemetry", h)
 	}
--- a/internal/management/server_test.go
+++ b/internal/management/server_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -37,6 +38,9 @@
 func (o *operated) Evacuate() error                  { return o.note("evacuate") }
 func (o *operated) Rejoin() error                    { return o.note("rejoin") }
 func (o *operated) Metrics() http.Handler            { return nil }
+func (o *operated) Waiting(d time.Duration) []string {
+	return slices.Repeat([]string{d.String()}, 201)
+}
 
 func start(t *testing.T, o Operated) string {
 	t.Helper()
@@ -139,3 +143,27 @@
 		t.Errorf("%d of %d silent connections were closed", closed, len(silent))
 	}
 }
+
+// TestWaiting: who asks what waits is told of as many as there is room for, over the time that is given; what is no time is an error.
+func TestWaiting(t *testing.T) {
+	addr := start(t, &operated{})
+	for _, tt := range []struct {
+		query, want string
+		status      int
+	}{
+		{"", "500ms\n", 200}, {"?over=2s", "2s\n", 200}, {"?over=soon", `over: "soon" is no time`, 400}, {"?over=-1s", "over: ", 400},
+	} {
+		resp, err := http.Get("http://" + addr + "/api/waiting" + tt.query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != tt.status || !strings.HasPrefix(string(text), tt.want) {
+			t.Errorf("%s: %d %.40q", tt.query, resp.StatusCode, text)
+		}
+		if tt.status == 200 && (strings.Count(string(text), tt.want) != mostWaiting || !strings.HasSuffix(string(text), "and 1 more\n")) {
+			t.Errorf("%s: %d lines", tt.query, strings.Count(string(text), "\n"))
+		}
+	}
+}
--- a/internal/services/http.go
+++ b/internal/services/http.go
@@ -422,6 +422,7 @@
 		f := Figures{Kind: "pool", Name: name, Counts: p.Counts(), Pool: p.Snapshot(), Web: &WebFigures{}}
 		f.Web.Descriptors, _ = p.conns.Used()
 		f.Web.Bodies, _ = p.room.Used()
+		f.Web.Waits = p.conns.Waits()
 		all = append(all, f)
 	}
 	return all
@@ -430,7 +431,9 @@
 // WebFigures are what a pool of HTTP servers holds, or what comes in at an address of HTTP.
 type WebFigures struct {
 	Descriptors, Bodies int64                   // of a pool, taken of its share
+	Waits               sockets.Waits           // for descriptors of its share
 	Clients             httpfront.Stats         // of an address
+	Ends                Ends                    // of pools that were taken out; the same at each address
 	Routes              map[string]router.Stats // likewise; the same at each
 }
 
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -315,7 +315,7 @@
 	}
 	for _, v := range s.all {
 		if v.clients != nil {
-			all = append(all, Figures{Kind: v.kind, Name: v.name, Web: &WebFigures{Clients: v.clients.Stats(), Routes: s.web.router.Stats()}})
+			all = append(all, Figures{Kind: v.kind, Name: v.name, Web: &WebFigures{Clients: v.clients.Stats(), Routes: s.web.router.Stats(), Ends: s.Ends()}})
 			continue
 		}
 		f := Figures{Kind: v.kind, Name: v.name, Counts: v.pool.Counts(), Pool: v.pool.Snapshot()}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -91,6 +91,9 @@
 	routeEarly    = desc("route_keys_early_total", "Keys that were let go before their window had passed, for want of room.", "service", "route")
 	poolPlaces    = desc("service_descriptors", "Connections to servers.", "service")
 	poolBodies    = desc("service_bodies_bytes", "Bodies of requests that are held.", "service")
+	poolWaits     = desc("service_descriptor_waits_total", "Connections to servers for which no descriptor was free, by whether they got one in time.", "service", "result")
+	poolsEnded    = desc("pools_ended_total", "Pools that a reload took out and that have ended.", "service")
+	poolsCut      = desc("pools_ended_requests_total", "Requests that got no server's answer as their pool was over.", "service")
 	ordersFailing = desc("orders_failing", "1 while nothing can be noted of orders.")
 )
 
@@ -98,7 +101,7 @@
 	okTotal, shedTotal, errorsTotal, leftTotal, triesTotal, active, held, poolSize, poolEjected, poolOut, poolDraining, readySet,
 	threshold, serverOut, serverQueue, serverDelay, serverWarmth, serverLeft, serverFails, siteShare, siteState, siteBad, siteSpilled, siteAway, evacuated, applied, rejected, descriptors, places, ordersTotal, ordersFailing,
 	serviceGuests, serviceAway, serviceEnded, serviceServer, streamsOpen, streamsEnded, streamBytes, mysqlBound, mysqlAnswers, mysqlMoves, mysqlServers,
-	mysqlIdle, routeRequests, routeKeys, routeEarly, poolPlaces, poolBodies,
+	mysqlIdle, routeRequests, routeKeys, routeEarly, poolPlaces, poolBodies, poolWaits, poolsEnded, poolsCut,
 }
 
 // statuses names how attempts end.
@@ -234,9 +237,13 @@
 		if f.Kind == "pool" {
 			gauge(poolPlaces, float64(st.Descriptors), f.Name)
 			gauge(poolBodies, float64(st.Bodies), f.Name)
+			total(poolWaits, st.Waits.Got, f.Name, "got")
+			total(poolWaits, st.Waits.None, f.Name, "none")
 			return
 		}
 		g.Now = st.Clients.Open
+		total(poolsEnded, st.Ends.Pools, f.Name)
+		total(poolsCut, st.Ends.Cut, f.Name)
 		for route, n := range st.Routes {
 			total(routeRequests, n.Requests, f.Name, route)
 			gauge(routeKeys, float64(n.Held), f.Name, route)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -531,7 +531,7 @@
 // relief draws a place of the ready set, and returns the server there if it is cold and may take one of the requests that
 // warm ones are too slow for: while it has less of this sidecar's requests than those have in the mean, in proportion to its
 // least capacity. What stands at it is bounded so by its share of what stands at them, over all sidecars alike, and what it
-// is sent by what it answers, however many are refused. It guards against refusals beside servers that warm up while a release of the fleet
+// is sent by what it answers, however many are refused. Where none is warm it gets one at a time. It guards against refusals beside servers that warm up while a release of the fleet
 // leaves the others overloaded: their turns come with what is sent, of which there is less the more is refused.
 func (b *Balancer) relief(now Time, r *request) *server {
 	places := b.places(r)
@@ -549,7 +549,7 @@
 			warm, out = warm+1, out+t.out
 		}
 	}
-	if float64((s.out+1)*warm) <= w*float64(out) || s.out == 0 && b.rng.Float64() < refusedCold*w {
+	if warm > 0 && float64((s.out+1)*warm) <= w*float64(out) || warm == 0 && s.out == 0 || s.out == 0 && b.rng.Float64() < refusedCold*w {
 		return s
 	}
 	return nil
