Bound every wait for a descriptor, and count leftovers of the play while services run

A wait for a descriptor of the process, behind that for one of the share, was bounded by the time to connect alone; the play counted goroutines and descriptors after the services had been closed, where a pool that never ends would not show; Engine.Waiting walked the list for each request under the lock; the library's way of a body under a reload, and a stream whose pool leaves the file, had no test.

A reader of entries that stood twice in the tests of traces stands once.

Tests of the packages that changed pass with -race.

--- a/internal/engine/waiting.go
+++ b/internal/engine/waiting.go
@@ -67,6 +67,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Now()
+	none := "a load report"
+	if !e.usable() {
+		none = "a list with a server that takes requests"
+		if e.retired {
+			none += ", in a pool that is taken out"
+		}
+	}
 	var all []Waiting
 	for _, r := range e.requests {
 		if r.ended || now-r.since < d {
@@ -85,13 +92,8 @@
 		case len(w.Out) > 0:
 		case r.adopted:
 			w.For = "another request of its order"
-		case !e.usable():
-			w.For = "a list with a server that takes requests"
-			if e.retired {
-				w.For += ", in a pool that is taken out"
-			}
 		default:
-			w.For = "a load report"
+			w.For = none
 		}
 		all = append(all, w)
 	}
--- a/internal/reloadplay/play.go
+++ b/internal/reloadplay/play.go
@@ -79,11 +79,14 @@
 	Lost             int            // POSTs that were answered as served and never ran
 	Denied           int            // POSTs that were refused, which says that nothing ran, and ran
 	Ended            services.Ends  // how pools that were taken out ended what they held
-	Goroutines       [2]int         // before and after
+	Goroutines       [2]int         // before and after, with the services at work
 	Descriptors      [2]int
 	Broken           []string // what must not be, in words
 }
 
+// settleTime is how soon after the last request goroutines and descriptors are to be as few as before the first.
+const settleTime = 3 * time.Second
+
 // play is one under way.
 type play struct {
 	Options
@@ -109,21 +112,9 @@
 	for i := range p.body {
 		p.body[i] = byte(rng.Uint32())
 	}
-	if ln, err := net.Listen("tcp", "127.0.0.1:0"); err == nil { // the runtime's own descriptors come with the first
-		ln.Close()
-	}
-	p.report.Goroutines[0], p.report.Descriptors[0] = runtime.NumGoroutine(), descriptors()
 	if err := p.run(ctx); err != nil {
 		return nil, err
 	}
-	until := time.Now().Add(3 * time.Second)
-	for {
-		p.report.Goroutines[1], p.report.Descriptors[1] = runtime.NumGoroutine(), descriptors()
-		if p.report.Goroutines[1] <= p.report.Goroutines[0] && p.report.Descriptors[1] <= p.report.Descriptors[0] || time.Now().After(until) {
-			break
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
 	p.judge()
 	return &p.report, nil
 }
@@ -174,6 +165,20 @@
 	tr := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: p.Clients}
 	defer tr.CloseIdleConnections()
 	p.client = &http.Client{Transport: tr, Timeout: p.Deadline + 10*time.Second}
+	resp, err := p.client.Get(p.url + "/.ready") // which no server is asked: all that serves runs by now
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	tr.CloseIdleConnections()
+	r := &p.report
+	for same := 0; same < 5; time.Sleep(10 * time.Millisecond) {
+		if now := [2]int{runtime.NumGoroutine(), descriptors()}; now[0] == r.Goroutines[0] && now[1] == r.Descriptors[0] {
+			same++
+		} else {
+			same, r.Goroutines[0], r.Descriptors[0] = 0, now[0], now[1]
+		}
+	}
 	if err := p.before(); err != nil {
 		return err
 	}
@@ -190,8 +195,13 @@
 	work.Wait()
 	close(stop)
 	watch.Wait()
-	p.report.Ended = p.services.Ends()
-	return err
+	tr.CloseIdleConnections()
+	for until := time.Now().Add(settleTime); ; time.Sleep(20 * time.Millisecond) { // while the services run
+		r.Goroutines[1], r.Descriptors[1], r.Ended = runtime.NumGoroutine(), descriptors(), p.services.Ends()
+		if r.Goroutines[1] <= r.Goroutines[0] && r.Descriptors[1] <= r.Descriptors[0] || time.Now().After(until) {
+			return err
+		}
+	}
 }
 
 // file is the operator's file of the n-th read.
@@ -201,8 +211,8 @@
 	if p.Retime && n%2 == 1 {
 		timeout = fmt.Sprintf("timeout = %q\n", p.Deadline/2)
 	}
-	return fmt.Sprintf("[[pools]]\nname = %q\nservers = [{addr = %q}, {addr = %q}]\n[[pools.classes]]\nname = \"any\"\neffect = \"by-request\"\n"+
-		"aim = \"1s\"\ndeadline = %q\nlate_share = 0.5\n[[routes]]\nname = \"all\"\nclass = \"any\"\npool = %q\n%s[[http]]\nname = \"front\"\nlisten = \"127.0.0.1:0\"\n",
+	return fmt.Sprintf("[[pools]]\nname = %q\nservers = [{addr = %q}, {addr = %q}]\nidle = \"1s\"\n[[pools.classes]]\nname = \"any\"\neffect = \"by-request\"\n"+
+		"aim = \"1s\"\ndeadline = %q\nlate_share = 0.5\n[[routes]]\nname = \"all\"\nclass = \"any\"\npool = %q\n%s[[http]]\nname = \"front\"\nlisten = \"127.0.0.1:0\"\nhealth = \"/.ready\"\n",
 		pool, addrs[0], addrs[1], p.Deadline, pool, timeout)
 }
 
--- a/internal/services/http_retire_test.go
+++ b/internal/services/http_retire_test.go
@@ -228,3 +228,30 @@
 		t.Error(status)
 	}
 }
+
+// TestReloadWithoutAStream: a stream whose pool is no longer in the file goes on with it until the next start, and so do new ones.
+func TestReloadWithoutAStream(t *testing.T) {
+	web := named("web", plain(t, "web"), "")
+	text := web + fmt.Sprintf("[[pools]]\nname = \"meters\"\nservers = [{addr = %q}]\n[[pools.classes]]\nname = \"meter\"\neffect = \"safe\"\naim = \"1s\"\ndeadline = \"2s\"\n"+
+		"[[streams]]\nname = \"meters\"\nlisten = \"127.0.0.1:0\"\npool = \"meters\"\nclass = \"meter\"\n", echo(t))
+	s, _ := serveHTTP(t, text)
+	for range 3 {
+		c, err := net.Dial("tcp", s.Addr("meters"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience))
+		got := make([]byte, 5)
+		if io.WriteString(c, "level"); err == nil {
+			_, err = io.ReadFull(c, got)
+		}
+		if err != nil || string(got) != "level" {
+			t.Fatalf("%q, %v", got, err)
+		}
+		o := load(t, t.TempDir(), web)
+		if restart, err := s.Reload(o.Services, o.Routes); err != nil || !restart {
+			t.Errorf("restart %v, %v", restart, err)
+		}
+	}
+}
--- a/internal/sockets/shares.go
+++ b/internal/sockets/shares.go
@@ -188,25 +188,26 @@
 
 // Acquire takes a descriptor, and returns the function that gives it back. It waits for mostWait at most.
 func (l *Lender) Acquire(ctx context.Context) (release func(), err error) {
-	if !l.Part.TryAcquire(1) {
-		ctx, cancel := context.WithTimeout(ctx, mostWait)
-		defer cancel()
-		err := l.wait(ctx)
-		l.of.mu.Lock()
-		if err == nil {
-			l.waited.Got++
-		} else {
-			l.waited.None++
-		}
-		l.of.mu.Unlock()
-		if err != nil {
-			return nil, err
+	ctx, cancel := context.WithTimeout(ctx, mostWait)
+	defer cancel()
+	waits := !l.Part.TryAcquire(1)
+	if waits {
+		err = l.wait(ctx)
+	}
+	var give func()
+	if err == nil {
+		if give, err = l.Budget.Acquire(ctx); err != nil {
+			l.Part.Release(1)
 		}
 	}
-	give, err := l.Budget.Acquire(ctx)
-	if err != nil {
-		l.Part.Release(1)
+	l.of.mu.Lock()
+	defer l.of.mu.Unlock()
+	switch {
+	case err != nil:
+		l.waited.None++
 		return nil, err
+	case waits:
+		l.waited.Got++
 	}
 	return sync.OnceFunc(func() { give(); l.Part.Release(1) }), nil
 }
--- a/internal/sockets/shares_test.go
+++ b/internal/sockets/shares_test.go
@@ -108,7 +108,19 @@
 		t.Fatal(err)
 	}
 	release()
-	if w := other.Waits(); w != (Waits{Got: 1, None: 1}) {
+	one.Release(s.Total() - 1) // the share has room, but all of the process's are taken
+	for range 4 {
+		if _, ok := b.TryAcquire(); !ok {
+			t.Fatal("not all descriptors can be had")
+		}
+	}
+	if _, err := l.Acquire(ctx); !errors.Is(err, ErrNone) || ctx.Err() != nil {
+		t.Errorf("%v, %v", err, ctx.Err())
+	}
+	if used, _ := other.Used(); used != 0 {
+		t.Errorf("%d places are kept for what was not had", used)
+	}
+	if w := other.Waits(); w != (Waits{Got: 1, None: 2}) {
 		t.Errorf("%+v", w)
 	}
 }
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -85,7 +85,7 @@
 	return entries(t, b.Bytes()), rep
 }
 
-func entries(t testing.TB, b []byte) (all []Entry) {
+func entries(t rapid.TB, b []byte) (all []Entry) {
 	t.Helper()
 	r, err := NewReader(bytes.NewReader(b))
 	if err != nil {
@@ -430,7 +430,7 @@
 func TestCutAndScale(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all := written(t, rapid.IntRange(1, 40).Draw(t, "n"))
-		in := read(t, all)
+		in := entries(t, all)
 		from := time.Duration(rapid.IntRange(0, 4000).Draw(t, "from")) * time.Millisecond
 		to := from + time.Duration(rapid.IntRange(1, 6000).Draw(t, "for"))*time.Millisecond
 		var b bytes.Buffer
@@ -438,7 +438,7 @@
 			t.Fatal(err)
 		}
 		i := 0
-		cut := read(t, b.Bytes())
+		cut := entries(t, b.Bytes())
 		for _, e := range in {
 			if at := time.Duration(e.At) * time.Microsecond; at < from || at >= to {
 				continue
@@ -460,7 +460,7 @@
 		if _, err := Scale(bytes.NewReader(all), &b, factor); err != nil {
 			t.Fatal(err)
 		}
-		scaled := read(t, b.Bytes())
+		scaled := entries(t, b.Bytes())
 		order := map[string][]string{}
 		for _, e := range in {
 			if e.Client != "" {
@@ -496,23 +496,6 @@
 	})
 }
 
-func read(t *rapid.T, b []byte) (all []Entry) {
-	r, err := NewReader(bytes.NewReader(b))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for {
-		e, err := r.Next()
-		if err == io.EOF {
-			return all
-		}
-		if err != nil {
-			t.Fatal(err)
-		}
-		all = append(all, e)
-	}
-}
-
 // TestScaleRate: by 2.5 there are two and a half times as many, over the same time.
 func TestScaleRate(t *testing.T) {
 	var b, out bytes.Buffer
--- a/pools_test.go
+++ b/pools_test.go
@@ -196,3 +196,44 @@
 	r.Host, r.URL.Host = q.URL.Host, o.addr
 	return o.Transport.RoundTrip(r)
 }
+
+// TestPoolsReloadUnderBody: a request whose body is still coming when a reload takes its pool out goes by the new file.
+func TestPoolsReloadUnderBody(t *testing.T) {
+	old, fresh := anyServer("old"), anyServer("new")
+	defer old.Close()
+	defer fresh.Close()
+	path := t.TempDir() + "/pools.toml"
+	file := func(name, addr string) {
+		text := fmt.Sprintf("[[pools]]\nname = %q\nservers = [{addr = %q}]\n[[pools.classes]]\nname = \"any\"\neffect = \"by-request\"\naim = \"8s\"\ndeadline = \"9s\"\n[[routes]]\nname = \"all\"\nclass = \"any\"\npool = %q\n",
+			name, strings.TrimPrefix(addr, "http://"), name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	file("old", old.URL)
+	p, err := OpenPools(path, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	body, more := io.Pipe()
+	q, _ := http.NewRequest("POST", "http://shop.example/", body)
+	q.ContentLength = 6
+	go func() {
+		io.WriteString(more, "abc") // returns once it has been read: the request is on its way
+		file("new", fresh.URL)
+		if err := p.Reload(); err != nil {
+			t.Error(err)
+		}
+		io.WriteString(more, "def")
+		more.Close()
+	}()
+	resp, err := p.RoundTripper().RoundTrip(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if text, _ := io.ReadAll(resp.Body); resp.StatusCode != 200 || resp.Header.Get("X-Server") != "new" || string(text) != "POST shop.example 6" {
+		t.Errorf("%d of %s: %q", resp.StatusCode, resp.Header.Get("X-Server"), text)
+	}
+}
