Listen to pushed lists from the start, read indented lists, and give calls 4 s

Ruled out: late drains by the engine (the logs show no list at all) and the known sites (both ask).

An agent's call has 1 s to be answered: TestPushedListsAreWatched fails without (no call ever comes). - discovery.Client read line by line, so an indented list ended every watch: it is decoded as one JSON value after the other, each bounded by 1 MiB and by 3 s from its first byte. TestIndentedLists fails without; a message that trickles is a new row of TestWatchFails. - A call that stays silent was given up after 6 s, when what it misses counts as told, and asked again 7.3 to 9.8 s after it began, against 8 s: 4 s now. - The conformance suite took the end of a body by the client's own cancel for an answer that broke (TestConformance/handler/Crowd, seen once): it is Gone, which it allows to those alone.

--- a/cmd/quillfront/conformance_test.go
+++ b/cmd/quillfront/conformance_test.go
@@ -98,6 +98,9 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
+		if req.Context().Err() != nil {
+			return conformance.Answer{Kind: conformance.Gone}
+		}
 		return conformance.Answer{Kind: conformance.Broken, Err: err}
 	}
 	return conformance.Answer{Kind: conformance.Served, Body: string(body), Header: resp.Header}
--- a/internal/conformance/conformance.go
+++ b/internal/conformance/conformance.go
@@ -95,6 +95,9 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
+		if ctx.Err() != nil {
+			return Answer{Kind: Gone}
+		}
 		return Answer{Kind: Broken, Err: err}
 	}
 	switch {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -115,7 +115,7 @@
 		transport = orders.Transport(transport)
 	}
 	options := engine.Options{
-		Config: cfg.Settings.Config, Module: b, Transport: transport, Source: discovery.Client{Addr: cfg.Discovery},
+		Config: cfg.Settings.Config, Module: b, Transport: transport, Source: source(cfg),
 		Known: cfg.Known, Sites: op.Sites, Log: log,
 	}
 	s.engine = engine.New(options)
@@ -161,6 +161,11 @@
 	return s, nil
 }
 
+// source is where cfg has the list of servers from.
+func source(cfg config.Config) discovery.Client {
+	return discovery.Client{Addr: cfg.Discovery, Pushed: cfg.Settings.Config.Pushed}
+}
+
 // Run serves until ctx ends, and then drains. It returns once all that was taken is answered.
 func (s *Sidecar) Run(ctx context.Context) error {
 	ln, err := s.listen()
@@ -333,9 +338,9 @@
 	if restart {
 		s.log.Warn("reload: [[http]], [[streams]], [[mysql]] or what their pools are made with differ, which takes a restart")
 	}
-	moved := cfg.Discovery != old.Discovery
+	moved := source(cfg) != source(old)
 	if moved {
-		s.engine.Move(discovery.Client{Addr: cfg.Discovery})
+		s.engine.Move(source(cfg))
 	}
 	s.cfg.Settings, s.cfg.Discovery, s.cfg.Text = cfg.Settings, cfg.Discovery, cfg.Text
 	s.reloads.applied++
--- a/internal/daemon/discovery_test.go
+++ b/internal/daemon/discovery_test.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -131,6 +133,15 @@
 		{"endless head", func(c *watchConn) {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 2*(64<<10)))
 		}},
+		{"a message that trickles", func(c *watchConn) {
+			c.head()
+			for text := `{"seq":50,"whole":true,"hosts":[` + strings.Repeat(" ", 1000); text != ""; text = text[1:] {
+				if _, err := fmt.Fprintf(c, "1\r\n%c\r\n", text[0]); err != nil {
+					return
+				}
+				time.Sleep(50 * time.Millisecond) // it has to be slow: that is what is tested
+			}
+		}},
 		{"end", func(c *watchConn) { c.head(); io.WriteString(c, "0\r\n\r\n") }},
 		{"silence from the start", func(c *watchConn) {}},
 		{"silence later", func(c *watchConn) { c.head(); c.line("") }},
@@ -184,3 +195,77 @@
 		t.Errorf("event %+v, want ListFailed", e)
 	}
 }
+
+// TestIndentedLists: a message may stand on many lines, be cut anywhere, and come together with the one behind it.
+func TestIndentedLists(t *testing.T) {
+	_, m, d, c := watching(t)
+	var all strings.Builder
+	for seq, dial := range []string{"127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"} {
+		one := fmt.Sprintf(`{"seq":%d,"whole":false,"hosts":[{"host":"b","dial":%q,"site":"y } ] \" {","health":"active"}]}`, 42+seq, dial)
+		var text bytes.Buffer
+		if err := json.Indent(&text, []byte(one), "", "  "); err != nil {
+			t.Fatal(err)
+		}
+		all.WriteString(text.String())
+		all.WriteString("\n\n")
+	}
+	c.head()
+	c.line(all.String()) // whole
+	for range 3 {
+		next(t, "list", m.members)
+	}
+	for _, b := range []byte(all.String()) { // and byte by byte
+		fmt.Fprintf(c, "1\r\n%c\r\n", b)
+	}
+	for range 3 {
+		if e := next(t, "list", m.members); e.kind != policy.ListDelta || len(e.servers) != 1 || e.servers[0].ID != "b" {
+			t.Fatalf("event %+v", e)
+		}
+	}
+	if len(d.watches) > 0 {
+		t.Error("the watch has ended")
+	}
+}
+
+// TestPushedListsAreWatched: where lists are pushed, an agent has to be listened to from the start, as what it has counts as told. One
+// that takes a call and says nothing is asked again within the 2 s that a drain leaves once it has it.
+func TestPushedListsAreWatched(t *testing.T) {
+	d := newDiscovery(t)
+	w := start(t, nil, "127.0.0.1:1", d.addr, func(c *config.Config) { c.Settings.Config.Pushed = true })
+	next(t, "first call", d.watches)
+	for range 5 { // pauses grow with each
+		before := time.Now()
+		next(t, "next call", d.watches)
+		if took := time.Since(before); took >= 2*time.Second {
+			t.Errorf("asked again after %v", took)
+		}
+	}
+	c := next(t, "call", d.watches)
+	c.head()
+	c.line(`{"seq":50,"whole":true,"hosts":[{"host":"a","dial":"127.0.0.1:1","health":"leaving"}]}`)
+	eventually(t, "the drain is known", func() bool {
+		all := w.engine.Snapshot().Servers
+		return len(all) == 1 && all[0].State == policy.Draining
+	})
+}
+
+// TestSilentAfterSilent: a watch that says nothing from its first moment is given up in time for the next call, by which what it
+// missed is known before it counts: 6 s later, and 2 s that a drain leaves.
+func TestSilentAfterSilent(t *testing.T) {
+	for seed := range uint64(8) { // which draws the pauses
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel() // it waits for silence to end
+			d := newDiscovery(t)
+			start(t, nil, "127.0.0.1:1", d.addr, func(c *config.Config) { c.Settings.Config.AskEvery, c.Seed = 10*time.Second, seed })
+			c := next(t, "first watch", d.watches)
+			c.head()
+			c.line("")
+			next(t, "second watch", d.watches) // silent from its first moment
+			before := time.Now()
+			next(t, "third watch", d.watches)
+			if took := time.Since(before); took >= 8*time.Second {
+				t.Errorf("asked again after %v", took)
+			}
+		})
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -49,8 +50,13 @@
 	if err := json.Unmarshal(text, &m); err != nil {
 		return engine.List{}, fmt.Errorf("server list: %w in %.80q", err, text)
 	}
+	return m.list()
+}
+
+// list is what m says.
+func (m *message) list() (engine.List, error) {
 	if m.Seq == nil {
-		return engine.List{}, fmt.Errorf("server list: no seq in %.80q", text)
+		return engine.List{}, errors.New("server list: no seq")
 	}
 	l := engine.List{Seq: *m.Seq, Whole: m.Whole, Servers: make([]engine.Server, 0, len(m.Hosts))}
 	for _, e := range m.Hosts {
@@ -101,22 +107,28 @@
 }
 
 const (
-	// callTime is how long discovery may take until the first line of a watch: calls wait in turn.
-	callTime = 6 * time.Second
-	// quietTime is how long a watch may say nothing, not even an empty line, before it counts as broken. One
-	// comes every 2 s; a machine that has vanished says nothing for ever.
+	// callTime is how long discovery may take to begin its answer where calls wait in turn. What a watch that stays silent from
+	// its first moment misses counts as told 6 s later: it leaves 2 s for the next call. Where calls wait longer than callTime
+	// none would be answered.
+	callTime = 4 * time.Second
+	// agentTime is the same of an agent of the sidecar's own, which answers at once. What such a one gets when discovery is back
+	// counts as told then, and a call that it has left without an answer hears nothing of it.
+	agentTime = time.Second
+	// quietTime is how long a watch may say nothing, not even an empty line, before it counts as broken, and how long a message may
+	// take from its first byte to its last. An empty line comes every 2 s; a machine that has vanished says nothing for ever.
 	quietTime = 3 * time.Second
 	// dialTime is how long the connection to discovery may take.
 	dialTime = 2 * time.Second
 	// mostHead bounds the head of discovery's answer.
 	mostHead = 64 << 10
-	// mostLine bounds a line of a watch.
-	mostLine = 1 << 20
+	// mostMessage bounds a message of a watch, and the empty lines before it.
+	mostMessage = 1 << 20
 )
 
 // Client watches the discovery at one address. It implements engine.Source.
 type Client struct {
-	Addr string // host:port
+	Addr   string // host:port
+	Pushed bool   // an agent of the sidecar's own is there, which answers at once
 }
 
 // Watch is a method of engine.Source.
@@ -132,7 +144,11 @@
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
-	c.SetDeadline(time.Now().Add(callTime))
+	wait := callTime
+	if d.Pushed {
+		wait = agentTime
+	}
+	c.SetDeadline(time.Now().Add(wait))
 	q := &http.Request{
 		Method: http.MethodGet, Host: d.Addr,
 		URL: &url.URL{Path: "/v1/servers", RawQuery: query},
@@ -150,22 +166,65 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", resp.Status)
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, mostLine)
-	for lines.Scan() {
-		c.SetDeadline(time.Now().Add(quietTime))
-		text := bytes.TrimSpace(lines.Bytes())
-		if len(text) == 0 {
-			continue
+	body := &paced{c: c, r: resp.Body, first: true}
+	messages := json.NewDecoder(body) // a message may be indented, and so stand on many lines
+	for {
+		body.next(messages)
+		var m message
+		if err := messages.Decode(&m); err == io.EOF {
+			return err
+		} else if err != nil {
+			return fmt.Errorf("server list: %w", err)
 		}
-		l, err := Parse(text)
+		l, err := m.list()
 		if err != nil {
 			return err
 		}
 		tell(l)
 	}
-	if err := lines.Err(); err != nil {
-		return err
+}
+
+// errTooLong tells that a message goes beyond mostMessage.
+var errTooLong = fmt.Errorf("a message of over %d bytes", mostMessage)
+
+// paced reads the body of a watch. It guards against messages without end, and such as stand still: however slowly the bytes of one
+// come, it has quietTime from its first to its last. Between messages each empty line says that the watch lives.
+type paced struct {
+	c     net.Conn
+	r     io.Reader
+	first bool // nothing has come: the call may still wait in line
+	begun bool // a message has come in part
+	left  int  // bytes that it may still have
+}
+
+// next has the next message begin, a part of which may have been read together with the one before.
+func (p *paced) next(messages *json.Decoder) {
+	rest, _ := io.ReadAll(messages.Buffered()) // of memory, which cannot fail
+	p.begun, p.left = false, mostMessage
+	p.note(rest)
+}
+
+// note looks at bytes that have come.
+func (p *paced) note(b []byte) {
+	p.left -= len(b)
+	if p.begun {
+		return
+	}
+	p.begun = len(bytes.TrimSpace(b)) > 0
+	if !p.first {
+		p.c.SetDeadline(time.Now().Add(quietTime))
+	}
+}
+
+// Read is the method of io.Reader.
+func (p *paced) Read(b []byte) (int, error) {
+	if p.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := p.r.Read(b[:min(len(b), p.left)])
+	if n > 0 {
+		p.first = false
+		p.note(b[:n])
 	}
-	return io.EOF
+	return n, err
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -163,9 +163,12 @@
 			panic(err) // it was not checked
 		}
 	}
-	if o.Known != nil {
-		e.event(func(now policy.Time) { e.members(now, policy.ListCached, *o.Known) })
-	}
+	e.event(func(now policy.Time) {
+		if o.Known != nil {
+			e.members(now, policy.ListCached, *o.Known)
+		}
+		e.listen()
+	})
 	return e
 }
 
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -39,8 +39,19 @@
 	BornMs int64 // when it last started, Unix time in milliseconds; 0 is long ago
 }
 
-// Watch is a method of policy.Actions. A watch ends in one ListFailed, unless it is called off; when to ask again is for
-// the module to say.
+// rewatch is the pause before a pushed list is listened to again after a failure. What the source gets counts as told, and the
+// source is the process's own, so that nobody else waits longer for the call; it keeps a source that refuses from being asked without end.
+const rewatch = 200 * time.Millisecond
+
+// listen begins the watch of a list that is pushed, unless it stands: it comes unasked to the module, and asking for it is the engine's.
+func (e *Engine) listen() {
+	if e.config.Pushed && e.stopWatch == nil {
+		e.Watch(true)
+	}
+}
+
+// Watch is a method of policy.Actions. A watch ends in one ListFailed, unless it is called off or the list is pushed; when to ask again
+// is for the module to say.
 func (e *Engine) Watch(on bool) {
 	if e.stopWatch != nil {
 		e.stopWatch()
@@ -71,6 +82,10 @@
 			cancel()
 			e.stopWatch = nil
 			e.log.Warn("watch on discovery ended", "err", err)
+			if e.config.Pushed {
+				time.AfterFunc(rewatch, func() { e.event(func(policy.Time) { e.listen() }) })
+				return
+			}
 			e.module.Members(now, policy.ListFailed, nil, e)
 		})
 	})
--- a/internal/engine/rules.go
+++ b/internal/engine/rules.go
@@ -86,6 +86,7 @@
 	e.rules.Store(newRules(cfg))
 	regrouped := cfg.GroupSize != e.config.GroupSize || cfg.Ordinal != e.config.Ordinal
 	e.config, e.given, e.group = cfg, given, group
+	e.listen()
 	if regrouped && e.watched != nil {
 		return e.sites.Watch(now, e.watched, cfg)
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -22,7 +22,7 @@
 	Classes   []policy.Class
 	Attempts  int           // 3
 	AskEvery  time.Duration // 1 s
-	Pushed    bool          // the list is never asked for
+	Pushed    bool          // the list is pushed by an agent at Discovery
 	NoProbes  bool
 	Inline    bool // answers carry load reports
 	Ramp      time.Duration
