Decide unsent attempts anew when their server leaves; let drains spare what is in use

- An attempt that waited for a descriptor or a connection was sent to a server that had been told to leave meanwhile, up to Limits.DialTimeoutUs after the decision: late by the rule where that is over 2 s.
- TestUpgrade's requests that were turned back unheard: traced.
Drain closed a connection 0 to 20 ms after its last answer, when a client that asks again and again is about to write; whatever came between the look and the close was reset.
Ruled out: new connections (the shared queue keeps them) and answers without Connection: close after the drain began (none).
A used connection is now closed after 100 ms of quiet, and the next answer on it says that it ends (TestDrainClosesWhatIsQuiet).

--- a/cmd/quillfront/upgrade_test.go
+++ b/cmd/quillfront/upgrade_test.go
@@ -195,6 +195,7 @@
 	for range cap(failed) {
 		err = errors.Join(err, <-failed)
 	}
+	t.Logf("%d of %d requests were turned back unheard", crossed.Load(), served.Load())
 	if err != nil || crossed.Load() > 2 {
 		t.Errorf("%v; %d of %d requests were turned back unheard", err, crossed.Load(), served.Load())
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -373,6 +373,9 @@
 func (e *Engine) settled(now policy.Time, a *Attempt, end Ending) {
 	r := a.req
 	a.settled = true
+	if end.Status == policy.Canceled && !r.ended && a.unsent() {
+		end.Status = policy.Moot
+	}
 	r.out--
 	r.last = end.Status
 	r.ran = r.ran || !end.Status.NotRun()
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -149,16 +149,39 @@
 		}
 	}
 	maps.DeleteFunc(e.early, func(id policy.ServerID, f firstSight) bool { return e.endpoints[id].BornMs != f.bornMs })
+	leaving := map[policy.ServerID]bool{}
 	// Connections of a server that has gone, moved or started anew are of no use to whoever has its address now.
 	for id, old := range before {
 		if e.endpoints[id] != old {
 			e.to.HangUp(old)
+			leaving[id] = true
+		}
+	}
+	for _, s := range servers {
+		if s.State != policy.Ready {
+			leaving[s.ID] = true
 		}
 	}
 	e.module.Members(now, kind, servers, e)
+	e.recall(leaving)
 	e.sites.Members(now, kind, servers)
 }
 
+// recall calls off what waits to be sent to servers that leave, so that the module decides anew. It guards against sends that begin long
+// after the decision: however long a descriptor or a connection takes to come, nothing new goes to a server that was told to leave.
+func (e *Engine) recall(leaving map[policy.ServerID]bool) {
+	if len(leaving) == 0 {
+		return
+	}
+	for _, r := range e.requests {
+		for _, a := range r.attempts {
+			if !a.settled && a.begun == 0 && leaving[a.Server] {
+				a.callOff()
+			}
+		}
+	}
+}
+
 // started is the module's time of a server's start. It guards against a server that seems to have restarted because its time
 // was converted anew by a wall clock that has since been set: equal times stay equal, and only 0 is long ago. It also guards
 // against a start in the future, by a clock that is wrong: the server would be held for cold until then.
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -126,6 +126,13 @@
 	}
 }
 
+// unsent reports whether the attempt was called off before any of it was sent: it has never run.
+func (a *Attempt) unsent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.canceled && !a.sending
+}
+
 // Sending is OnCancel where the attempt begins to be sent: from now on the module alone may call it off.
 func (a *Attempt) Sending(stop func()) bool {
 	a.At(StageSend)
--- a/internal/httpfront/idle_test.go
+++ b/internal/httpfront/idle_test.go
@@ -71,3 +71,54 @@
 		t.Errorf("%q is announced, and the limit is %v", keepAlive, idleTime)
 	}
 }
+
+// TestDrainClosesWhatIsQuiet: a drain closes connections that have been quiet for a while, and neither such as were just used, whose next
+// request would cross the close, nor such on which one has come.
+func TestDrainClosesWhatIsQuiet(t *testing.T) {
+	s := New(nil, nil, NewRoom(24), sockets.New(64), slog.New(slog.DiscardHandler))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	for _, tt := range []struct {
+		name  string
+		phase phase
+		quiet time.Duration
+		says  string
+		stays bool
+	}{
+		{"quiet", idle, usedTime, "", false},
+		{"just used", idle, -time.Hour, "", true}, // ahead of any stall of this test
+		{"a request has come", idle, time.Minute, "GET", true},
+		{"new", fresh, usedTime, "", true},
+		{"never used", fresh, freshTime, "", false},
+		{"a request is open", serving, time.Minute, "", true},
+	} {
+		near, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer near.Close()
+		far, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer far.Close()
+		io.WriteString(near, tt.says)
+		c := &clientConn{Conn: far, release: func() {}, peek: sockets.NewPeeker(far), phase: tt.phase, since: time.Now().Add(-tt.quiet)}
+		for tt.says != "" && c.peek.NothingCame() {
+			time.Sleep(time.Millisecond)
+		}
+		s.mu.Lock()
+		s.over = true // no further sweep by itself
+		s.conns[c] = struct{}{}
+		s.ending = true
+		s.sweep()
+		if _, stays := s.conns[c]; stays != tt.stays {
+			t.Errorf("%s: it stays: %v, want %v", tt.name, stays, tt.stays)
+		}
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -66,9 +66,11 @@
 	// the answer reaches it before a reset does.
 	lingerTime = 300 * time.Millisecond
 	// sweepEvery is how often a server that drains looks for quiet connections, and freshTime how long a new one may be quiet
-	// then: it was opened to be used at once.
+	// then: it was opened to be used at once. usedTime is the same of one that was used: a client that asks again and again is about to,
+	// and learns with its next answer that the connection ends, while a request that crosses the close is turned back unheard.
 	sweepEvery = 20 * time.Millisecond
 	freshTime  = time.Second
+	usedTime   = 100 * time.Millisecond
 	// lookEvery is how often a connection is looked at whose client could leave unheard: see unheard. What it waits for is not sent on
 	// 0.3 s later.
 	lookEvery = 50 * time.Millisecond
@@ -301,7 +303,8 @@
 // connection ends, and the next request may be there. Called with the lock held.
 func (s *Server) sweep() {
 	for c := range s.conns {
-		if (c.phase == idle || c.phase == fresh && time.Since(c.since) >= freshTime) && !c.heard.Load() && c.peek.NothingCame() {
+		quiet := time.Since(c.since)
+		if (c.phase == idle && quiet >= usedTime || c.phase == fresh && quiet >= freshTime) && !c.heard.Load() && c.peek.NothingCame() {
 			s.drop(c)
 		}
 	}
