--- a/internal/services/http.go
+++ b/internal/services/http.go
@@ -398,6 +398,9 @@
 // Router says which pool takes a request.
 func (w *Web) Router() *router.Router { return w.web.router }
 
+// Engines returns the engines of all pools.
+func (w *Web) Engines() []*engine.Engine { return w.web.engines() }
+
 // Set takes over other routes and pools, which have been checked.
 func (w *Web) Set(cfg config.Services, list []routes.Route) error { return w.web.set(cfg, list) }
 
@@ -534,9 +537,15 @@
 		}
 	}
 	if s.web != nil {
-		for _, p := range s.web.all() { // what is taken out may still send what it had taken
-			all = append(all, p.Engine)
-		}
+		all = append(all, s.web.engines()...)
+	}
+	return all
+}
+
+// engines returns those of all pools: what is taken out may still send what it had taken.
+func (w *web) engines() (all []*engine.Engine) {
+	for _, p := range w.all() {
+		all = append(all, p.Engine)
 	}
 	return all
 }
--- /dev/null
+++ b/internal/services/http_leave_test.go
@@ -0,0 +1,83 @@
+package services
+
+import (
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"quillfront/internal/engine"
+)
+
+// fullServer is the address of a server whose queue of connections is full, so that none comes up.
+func fullServer(t *testing.T) string {
+	t.Helper()
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for {
+		c, err := net.DialTimeout("tcp", ln.Addr().String(), 200*time.Millisecond)
+		if err != nil {
+			return ln.Addr().String()
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
+// TestClientLeavesBehindWhatItWrote: a client that leaves while its request waits is noticed, also where the next request, or a body that
+// is not yet read, stands before the end of its connection.
+func TestClientLeavesBehindWhatItWrote(t *testing.T) {
+	for name, text := range map[string]string{
+		"the next request, at once": "GET /a HTTP/1.1\nHost: s\n\nGET /b HTTP/1.1\nHost: s\n\n",
+		"the next request, later":   "GET /a HTTP/1.1\nHost: s\n\n|GET /b HTTP/1.1\nHost: s\n\n",
+		"a body":                    "PUT /a HTTP/1.1\nHost: s\nTransfer-Encoding: chunked\n\n4\nbody\n4\nmore\n0\nX-Trailer: t\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, addr := serveHTTP(t, strings.Replace(httpText("", fullServer(t)), `dial = "1s"`, `dial = "8s"`, 1))
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			first, later, _ := strings.Cut(strings.ReplaceAll(text, "\n", "\r\n"), "|")
+			io.WriteString(c, first)
+			e := s.Engines()[0]
+			until(t, func() bool {
+				all := e.Waiting(0)
+				return len(all) == 1 && len(all[0].Out) == 1 && all[0].Out[0].Stage == engine.StageConnect
+			})
+			io.WriteString(c, later)
+			c.Close()
+			until(t, func() bool {
+				n := uint64(0)
+				for _, c := range e.Counts() {
+					n += c.Withdrawn
+				}
+				return n == 1
+			})
+			until(t, func() bool { return e.Snapshot().Held == 0 })
+		})
+	}
+}
+
+// until waits until ok.
+func until(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it never happens")
+		}
+	}
+}
