--- a/internal/daemon/crossing_test.go
+++ b/internal/daemon/crossing_test.go
@@ -211,22 +211,26 @@
 	}
 }
 
-// TestServerLeavesBeforeItIsSent: what waits for a connection to a server that is told to leave is decided anew, also of a class that must
-// not run twice, as it has surely not run.
+// TestServerLeavesBeforeItIsSent: what waits for a connection to a server that is told to leave, or has started anew, is decided anew, also
+// of a class that must not run twice, as it has surely not run.
 func TestServerLeavesBeforeItIsSent(t *testing.T) {
-	f, d := newFull(t), newDiscovery(t)
-	w := start(t, nil, f.Addr().String(), d.addr, func(c *config.Config) {
-		c.Settings.Config.MayProbe, c.Settings.Config.MayCancel = false, false
-		c.Settings.Config.AskEvery, c.Settings.Config.DialTimeout = 100*time.Millisecond, time.Minute
-	})
-	watch := next(t, "watch", d.watches)
-	watch.head()
-	c := w.connect(t)
-	c.write("POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nContent-Length: 2\n\nhi")
-	eventually(t, "the attempt waits for a connection", func() bool { return w.stage(engine.StageConnect) })
-	watch.line(fmt.Sprintf(`{"seq":42,"hosts":[{"host":"a","dial":%q,"health":"leaving"},{"host":"b","dial":%q,"site":"z","health":"active"}]}`,
-		f.Addr(), peer(t, say(okAnswer))))
-	if resp, _ := c.read(t); resp.StatusCode != http.StatusOK {
-		t.Errorf("answer %d", resp.StatusCode)
+	for name, what := range map[string]string{"leaving": `"health":"leaving"`, "started anew": `"health":"active","born_ms":1700000000123`} {
+		t.Run(name, func(t *testing.T) {
+			f, d := newFull(t), newDiscovery(t)
+			w := start(t, nil, f.Addr().String(), d.addr, func(c *config.Config) {
+				c.Settings.Config.MayProbe, c.Settings.Config.MayCancel = false, false
+				c.Settings.Config.AskEvery, c.Settings.Config.DialTimeout = 100*time.Millisecond, time.Minute
+			})
+			watch := next(t, "watch", d.watches)
+			watch.head()
+			c := w.connect(t)
+			c.write("POST /pay/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nContent-Length: 2\n\nhi")
+			eventually(t, "the attempt waits for a connection", func() bool { return w.stage(engine.StageConnect) })
+			watch.line(fmt.Sprintf(`{"seq":42,"hosts":[{"host":"a","dial":%q,%s},{"host":"b","dial":%q,"site":"z","health":"active"}]}`,
+				f.Addr(), what, peer(t, say(okAnswer))))
+			if resp, _ := c.read(t); resp.StatusCode != http.StatusOK {
+				t.Errorf("answer %d", resp.StatusCode)
+			}
+		})
 	}
 }
