Mend a deadlock between calling an attempt off and the end of its long answer

Cause: upstream's long.end ran under a sync.Once. Calling an attempt off holds the attempt's lock and ends its long answer; the reader of that answer, inside the Once, asks for the same lock. Each waits for the other, with the engine's lock held by the first. Engine.Close calls off every attempt, so a shutdown while a long answer is passed on could stand still for good.

Change: whoever comes second to the end does not wait for the first.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -455,7 +455,7 @@
 type long struct {
 	c      *conn
 	settle func(error) // makes the connection idle, or closes it: io.EOF if all was read, nil if that is not wanted
-	ended  sync.Once
+	ended  atomic.Bool
 	done   chan struct{} // closed once it is read to its end or closed
 	err    error         // before done is closed: what ended it; nil: it was closed before its end
 }
@@ -487,10 +487,13 @@
 	return nil
 }
 
+// end ends it once, by err. One that comes second does not wait for the first: it may hold a lock that the first's settle
+// needs, as an attempt's is held while it is called off.
 func (l *long) end(err error, settle func(error)) {
-	l.ended.Do(func() {
-		settle(err)
-		l.err = err
-		close(l.done)
-	})
+	if !l.ended.CompareAndSwap(false, true) {
+		return
+	}
+	settle(err)
+	l.err = err
+	close(l.done)
 }
