Have TestLosersWriteNothing wait until both attempts were sent

An attempt that is not sent yet when the other's answer comes is called off (as it should be), and the test took for granted that both had been sent.

Change: the first server answers only once the second has the request. The assertions stay as they were.

--- a/internal/daemon/upstream_test.go
+++ b/internal/daemon/upstream_test.go
@@ -308,11 +308,14 @@
 
 // TestLosersWriteNothing: of two copies the first whole answer is the client's, and the other one's is dropped.
 func TestLosersWriteNothing(t *testing.T) {
-	second := make(chan struct{})
+	arrived, second := make(chan struct{}), make(chan struct{})
 	addr := peer(t, func(n int, c net.Conn) {
 		r := bufio.NewReader(c)
 		http.ReadRequest(r)
-		if n == 1 {
+		if n == 0 {
+			<-arrived // an attempt that is not sent yet would be called off by the first answer
+		} else if n == 1 {
+			close(arrived)
 			<-second
 		}
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
