Give a shutdown's time one owner: answer all that is read before the earliest kill

Root cause: the end of a shutdown was not computed from the instant at which the platform may kill the process, and had several owners. Sidecar.Serve took 0.5 s + the longest deadline of all classes, 0.15 s more for the end, from when its goroutine woke. The kill comes after min(longest deadline, 3 s) + 0.7 s. So (1) with deadlines over 3 s the last answers were due seconds after the kill; (2) otherwise 50 ms were left, though a process may be held up for 150 ms at the signal or at its last answers; (3) while settings had just changed the longest deadline was that of whichever settings were longer, while the kill may go by the shorter; (4) the bound was copied into each request as its connection changed phase, so requests taken before SIGTERM, uploads and orders that wait for another had none. Whatever was open then was forwarded and never answered.

Change: package internal/shutdown has a Schedule (last connections, last forward, last answer, exit), computed once from the signal and the settings, and a Course that runs it. The HTTP front goes by it alone: past the last forward what is read is refused at once and retries, hedges and unsent attempts are stopped (policy.StopSending); at the last answer what is open is given up with a truthful answer (policy.GiveUp), and what has come in part is refused; before the exit nothing that came is left unread. A reload only ever brings the schedule forward. State removed: Request.By's copies on connections, ending/by of the front.

The same mistake elsewhere, mended too: HTTP by routes closed connections at its patience with requests open; MySQL statements could outlast the patience by their deadline; services beside the platform's front ended by 10 s of their own; connections were accepted and served after all were closed (behind slow services); the accept loop waited for a descriptor without end; a process told to end before it listened opened its window all the same; an answer to HTTP/1.0 that was cut off passed for whole.

--- a/cmd/quillfront/main_test.go
+++ b/cmd/quillfront/main_test.go
@@ -43,7 +43,8 @@
 		t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0], args...)
-	cmd.Env = append(os.Environ(), "QUILLFRONT_IS_SIDECAR=1", "GW_CONFIG="+path)
+	// Under the race detector a process would else stay for a second after its end.
+	cmd.Env = append(os.Environ(), "QUILLFRONT_IS_SIDECAR=1", "GW_CONFIG="+path, "GORACE=atexit_sleep_ms=0")
 	return cmd
 }
 
@@ -95,6 +96,21 @@
 	return s
 }
 
+// reload replaces the configuration of a process and tells it so.
+func (s *process) reload(t testing.TB, config string) {
+	t.Helper()
+	for _, v := range s.Env {
+		if path, ok := strings.CutPrefix(v, "GW_CONFIG="); ok {
+			if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	if err := s.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Error(err)
+	}
+}
+
 func configText(listen, upstream string) string {
 	return fmt.Sprintf(`{"name":"n","listen":%q,"discovery":"127.0.0.1:1",
 "known":{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"health":"active"}]},
@@ -203,20 +219,9 @@
 	defer srv.Close()
 	text := configText("127.0.0.1:0", srv.Listener.Addr().String())
 	s := start(t, text)
-	path := ""
-	for _, v := range s.Env {
-		if p, ok := strings.CutPrefix(v, "GW_CONFIG="); ok {
-			path = p
-		}
-	}
 	reload := func(text string) {
 		t.Helper()
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		if err := s.Process.Signal(syscall.SIGHUP); err != nil {
-			t.Fatal(err)
-		}
+		s.reload(t, text)
 	}
 	moved := func(name string) {
 		t.Helper()
--- a/internal/account/recorder.go
+++ b/internal/account/recorder.go
@@ -263,6 +263,16 @@
 	r.Balancer.Withdrawn(now, id, actions{act, r, now})
 }
 
+func (r *Recorder) StopSending(now policy.Time, id policy.RequestID, act policy.Actions) {
+	r.tick(now)
+	r.Balancer.StopSending(now, id, actions{act, r, now})
+}
+
+func (r *Recorder) GiveUp(now policy.Time, id policy.RequestID, act policy.Actions) {
+	r.tick(now)
+	r.Balancer.GiveUp(now, id, actions{act, r, now})
+}
+
 func (r *Recorder) Timer(now policy.Time, tok string, act policy.Actions) {
 	r.tick(now)
 	r.Balancer.Timer(now, tok, actions{act, r, now})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"quillfront/internal/httpmsg"
 	"quillfront/internal/orders"
 	"quillfront/internal/services"
+	"quillfront/internal/shutdown"
 	"quillfront/internal/sockets"
 	"quillfront/internal/upstream"
 	"quillfront/policy"
@@ -32,12 +33,8 @@
 )
 
 const (
-	// drainWindow is how long new connections may go on coming after SIGTERM, and some more.
-	drainWindow = 500 * time.Millisecond
 	// changeTime is how long clients may go by the settings before a change: 1.2 s, and 2 s in which a request may come.
 	changeTime = 3200 * time.Millisecond
-	// drainSlack is what the last answers may take beyond the longest deadline.
-	drainSlack = 150 * time.Millisecond
 )
 
 // Sidecar is one real sidecar.
@@ -59,6 +56,10 @@
 	newer   atomic.Int32  // processes of this sidecar that live and are newer
 	asking  sync.Mutex    // held while operators change something here
 
+	deadlines deadlines
+	ending    sync.Mutex
+	told      time.Time // to end; zero: it was not; under ending
+
 	mu      sync.Mutex
 	cfg     config.Config   // as it is applied; what takes a restart, as it was at the start
 	op      config.Operator // likewise
@@ -108,6 +109,7 @@
 		}
 	}
 	s := &Sidecar{cfg: cfg, op: op, log: log, sockets: sockets.New(cfg.Sockets), room: httpfront.NewRoom(cfg.MemoryMB), began: time.Now()}
+	s.deadlines.set(cfg.Settings.Config, s.began)
 	setMemory(cfg.MemoryMB, 1)
 	s.transport = upstream.New(cfg.Settings, s.sockets, log)
 	var transport engine.Transport = s.transport
@@ -166,8 +168,13 @@
 	return discovery.Client{Addr: cfg.Discovery, Pushed: cfg.Settings.Config.Pushed}
 }
 
-// Run serves until ctx ends, and then drains. It returns once all that was taken is answered.
+// Run serves until ctx ends, and then drains. It returns once all that was taken is answered. It does not begin to serve
+// if ctx has ended before.
 func (s *Sidecar) Run(ctx context.Context) error {
+	if ctx.Err() != nil { // the schedule of the end would begin too late
+		s.close()
+		return nil
+	}
 	ln, err := s.listen()
 	if err != nil {
 		return err
@@ -236,38 +243,53 @@
 	case <-ctx.Done():
 	}
 	s.serving.Store(false)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		s.services.Shutdown(context.Background()) // each ends within its patience
-	}()
 	s.log.Info("draining", "load", s.engine.String())
-	// Answers close their connections from here on, and idle ones are closed: a request that crosses that comes
-	// again on a new connection, which is still accepted, here or by the process that takes over.
-	window := drainWindow
+	schedule := s.beginShutdown(time.Now())
 	if s.succeeded() {
-		window = 0 // what waits in the socket's queue is the other process's
-	}
-	by := time.Now().Add(window + s.engine.Longest())
-	s.server.Drain(by)
-	end, cancel := context.WithDeadline(context.Background(), by.Add(drainSlack))
-	defer cancel()
-	if window == 0 {
-		ln.Close()
+		ln.Close() // what waits in the socket's queue is the other process's
 	} else {
-		backlog.Drain(time.Now().Add(window))
+		backlog.Drain(schedule.Accept)
 	}
+	patience, cut := context.WithDeadline(context.Background(), schedule.Exit)
+	defer cut()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.services.Shutdown(patience)
+	}()
+	all := s.server.Wait()
 	select {
-	case <-served: // the backlog is empty
-	case <-end.Done():
+	case <-ended:
+	case <-s.server.Exited():
+		cut()
+		<-ended
 	}
-	all := s.server.Wait(end)
 	s.log.Info("drained", "load", s.engine.String(), "all_ended", all)
 	s.server.CloseAll()
-	<-ended
 	return nil
 }
 
+// beginShutdown has the front end by the schedule of a process that was told to end at signal.
+func (s *Sidecar) beginShutdown(signal time.Time) shutdown.Schedule {
+	s.ending.Lock()
+	s.told = signal
+	s.ending.Unlock()
+	return s.reschedule()
+}
+
+// reschedule has the front end by the settings as they are now, if it is to end: deadlines that are longer than the ones
+// before change nothing. It waits for no reload that is under way, which comes here itself.
+func (s *Sidecar) reschedule() shutdown.Schedule {
+	s.ending.Lock()
+	defer s.ending.Unlock()
+	if s.told.IsZero() {
+		return shutdown.Schedule{}
+	}
+	schedule := shutdown.ForPlatform(s.told, s.deadlines.agreed(s.told))
+	s.server.Drain(schedule)
+	return schedule
+}
+
 // Config returns what the sidecar runs by.
 func (s *Sidecar) Config() config.Config {
 	s.mu.Lock()
@@ -304,6 +326,8 @@
 			return err
 		}
 		s.transport.Reconfigure(cfg.Settings)
+		s.deadlines.set(cfg.Settings.Config, time.Now())
+		s.reschedule()
 		if s.settle != nil {
 			s.settle.Stop()
 		}
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -15,6 +15,9 @@
 	"quillfront/policy"
 )
 
+// connectWindow is how long new connections are expected after SIGTERM, with some reserve.
+const connectWindow = 500 * time.Millisecond
+
 // gate is an upstream that answers nothing before it is opened.
 type gate struct {
 	addr    string
@@ -54,7 +57,7 @@
 	select {
 	case err := <-w.over:
 		t.Fatalf("the sidecar ended with requests unanswered: %v", err)
-	case <-time.After(drainWindow + 200*time.Millisecond): // past the window they still have their time
+	case <-time.After(connectWindow + 200*time.Millisecond): // past the window they still have their time
 	}
 	close(g.open)
 	for _, c := range []*client{busy, late, fresh} {
@@ -88,7 +91,7 @@
 	select {
 	case err := <-w.over:
 		t.Fatalf("the sidecar ended with requests unanswered: %v", err)
-	case <-time.After(drainWindow + 200*time.Millisecond):
+	case <-time.After(connectWindow + 200*time.Millisecond):
 	}
 	close(g.open)
 	for i, c := range clients {
--- /dev/null
+++ b/internal/daemon/shutdown_test.go
@@ -0,0 +1,313 @@
+package daemon
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"quillfront/internal/config"
+	"quillfront/internal/shutdown"
+	"quillfront/policy"
+)
+
+const (
+	// shortDeadline is that of all classes where a test waits for the whole of a shutdown.
+	shortDeadline = 400 * time.Millisecond
+	// busyMachine is what a machine with much else to do may take beyond a point of the schedule before a test fails.
+	busyMachine = 2 * time.Second
+)
+
+// withDeadline gives all classes a deadline.
+func withDeadline(d time.Duration) func(*config.Config) {
+	return func(c *config.Config) {
+		for i := range c.Settings.Config.Classes {
+			c.Settings.Config.Classes[i].Deadline, c.Settings.Config.Classes[i].Aim = d, d
+		}
+	}
+}
+
+// hangingServer reads requests and never answers them, but for probes. It notes their ids.
+type hangingServer struct {
+	addr    string
+	arrived chan string
+}
+
+func newHangingServer(t *testing.T) *hangingServer {
+	h := &hangingServer{arrived: make(chan string, 1000)}
+	h.addr = peer(t, func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if id := q.Header.Get("X-Request-ID"); id != "" {
+				h.arrived <- id
+			} else {
+				const report = "TEXT eps=0, queue=0"
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+			}
+		}
+	})
+	return h
+}
+
+// ids returns the ids that have come so far.
+func (h *hangingServer) ids() map[string]bool {
+	ids := map[string]bool{}
+	for len(h.arrived) > 0 {
+		ids[<-h.arrived] = true
+	}
+	return ids
+}
+
+// schedule returns that of the shutdown, once it has begun.
+func (w *world) schedule(t *testing.T) shutdown.Schedule {
+	t.Helper()
+	var s shutdown.Schedule
+	eventually(t, "the shutdown has begun", func() bool {
+		w.ending.Lock()
+		told := w.told
+		w.ending.Unlock()
+		s = shutdown.ForPlatform(told, w.deadlines.agreed(told))
+		return !told.IsZero()
+	})
+	return s
+}
+
+// TestShutdownPoints: requests whose last byte comes 1 ms before or after each point of the schedule, while the server hangs, all have
+// a whole answer; none of which the last byte came after the end of forwarding is forwarded.
+func TestShutdownPoints(t *testing.T) {
+	h := newHangingServer(t)
+	w := start(t, nil, h.addr, "127.0.0.1:1", withDeadline(shortDeadline))
+	const half = "GET /read/k HTTP/1.1\r\nHost: s\r\nX-Request-ID: %s\r\nX-Timeout-Ms: 400\r\n\r"
+	type late struct {
+		*client
+		id string
+	}
+	var clients []late
+	for i := range 6 {
+		c := late{w.connect(t), fmt.Sprintf("p%d", i)}
+		fmt.Fprintf(c, half, c.id)
+		clients = append(clients, c)
+	}
+	eventually(t, "their heads have come in part", func() bool { s := w.server.Stats(); return s.Open-s.Quiet == len(clients) })
+	w.term()
+	s := w.schedule(t)
+	var all sync.WaitGroup
+	for i, c := range clients {
+		point := []time.Time{s.Forward, s.Answer, s.Exit}[i/2]
+		at := point.Add(time.Duration(2*(i%2)-1) * time.Millisecond)
+		all.Go(func() {
+			time.Sleep(time.Until(at))
+			io.WriteString(c, "\n")
+			resp, err := http.ReadResponse(c.r, nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			if err != nil {
+				t.Errorf("%s, the last byte %v before the exit: %v", c.id, s.Exit.Sub(at), err)
+			} else if resp.StatusCode/100 != 5 || !resp.Close {
+				t.Errorf("%s: answer %d, closes %v", c.id, resp.StatusCode, resp.Close)
+			}
+		})
+	}
+	all.Wait()
+	if err := next(t, "end", w.over); err != nil {
+		t.Error(err)
+	}
+	if late := time.Since(s.Exit); late > busyMachine {
+		t.Errorf("it ended %v after the exit", late)
+	}
+	for id := range h.ids() {
+		if id != "p0" {
+			t.Errorf("%s was forwarded", id)
+		}
+	}
+}
+
+// TestShutdownOfAnUpload: a request whose long body is on its way to a server, and stands still, has its answer by the exit.
+func TestShutdownOfAnUpload(t *testing.T) {
+	h := newHangingServer(t)
+	w := start(t, nil, h.addr, "127.0.0.1:1", withDeadline(shortDeadline))
+	c := w.connect(t)
+	c.write(fmt.Sprintf("POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nIdempotency-Key: k\nContent-Length: %d\n\n", 4<<20))
+	c.Write(make([]byte, 2<<20))
+	next(t, "request", h.arrived)
+	w.term()
+	if resp, _ := c.read(t); resp.StatusCode/100 != 5 || !resp.Close {
+		t.Errorf("answer %d, closes %v", resp.StatusCode, resp.Close)
+	}
+	next(t, "end", w.over)
+}
+
+// TestShutdownBesideAFullClient: a client that takes nothing of its answer keeps neither the others from theirs nor the process from
+// its end.
+func TestShutdownBesideAFullClient(t *testing.T) {
+	long := peer(t, say("HTTP/1.1 200 OK\nContent-Length: 33554432\n\n"+strings.Repeat("x", 32<<20)))
+	w := start(t, nil, long, "127.0.0.1:1", withDeadline(shortDeadline))
+	full := w.connect(t)
+	full.write(plainGet)
+	eventually(t, "its answer has begun", func() bool { _, err := full.r.Peek(1); return err == nil })
+	w.term()
+	s := w.schedule(t)
+	if resp, _ := w.ask(t, "GET /healthz HTTP/1.1\nHost: s\n\n"); resp.StatusCode != http.StatusOK {
+		t.Errorf("answer %d", resp.StatusCode)
+	}
+	next(t, "end", w.over)
+	if late := time.Since(s.Exit); late > busyMachine {
+		t.Errorf("it ended %v after the exit", late)
+	}
+}
+
+// TestShutdownCutsTruthfully: a client of HTTP/1.0 gets an answer whose end is that of the connection; one that is cut off at the exit
+// ends with a reset, so that nobody takes it for whole.
+func TestShutdownCutsTruthfully(t *testing.T) {
+	endless := peer(t, answering(func(_ *http.Request, c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for {
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", 32<<10, strings.Repeat("x", 32<<10)); err != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}))
+	w := start(t, nil, endless, "127.0.0.1:1", withDeadline(shortDeadline))
+	c := w.connect(t)
+	c.write("GET /read/k HTTP/1.0\nHost: s\nX-Request-ID: 1\n\n")
+	if _, err := c.r.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	w.term()
+	if _, err := io.Copy(io.Discard, c.r); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the answer that was cut off ends with %v, want a reset", err)
+	}
+	next(t, "end", w.over)
+}
+
+// TestShutdownWithFewDescriptors: connections that wait for a descriptor as SIGTERM comes have been accepted by the machine, and their
+// requests are answered though the server never answers any.
+func TestShutdownWithFewDescriptors(t *testing.T) {
+	h := newHangingServer(t)
+	w := start(t, nil, h.addr, "127.0.0.1:1", withDeadline(shortDeadline), func(c *config.Config) { c.Sockets = config.LeastSockets })
+	var clients []*client
+	for range 2 * w.clientPlaces() {
+		c := w.connect(t)
+		c.write(strings.Replace(plainGet, "9000", "400", 1))
+		clients = append(clients, c)
+	}
+	w.term()
+	for i, c := range clients {
+		resp, err := http.ReadResponse(c.r, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		if err != nil {
+			t.Fatalf("connection %d of %d: %v", i, len(clients), err)
+		}
+	}
+	next(t, "end", w.over)
+}
+
+// TestShutdownBeforeItServes: a process that is told to end before it listens takes no connection.
+func TestShutdownBeforeItServes(t *testing.T) {
+	w := start(t, newScript(), "127.0.0.1:1", "127.0.0.1:1")
+	w.term()
+	next(t, "end", w.over)
+	cfg, err := loadText(t, configText("127.0.0.1:1", "127.0.0.1:1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // whoever listened there would fail
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	cfg.Listen = ln.Addr().String()
+	s, err := New(cfg, config.Operator{}, w.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := contextThatEnded(t)
+	defer cancel()
+	if err := s.Run(ctx); err != nil {
+		t.Errorf("Run: %v, want nil without listening", err)
+	}
+}
+
+// TestReloadDuringShutdown: a reload that comes while the process ends may bring its end forward, as the platform may go by the new
+// deadlines, and never puts it off.
+func TestReloadDuringShutdown(t *testing.T) {
+	for _, tt := range []struct{ before, after time.Duration }{{3 * time.Second, shortDeadline}, {shortDeadline, 3 * time.Second}} {
+		t.Run(fmt.Sprintf("%v to %v", tt.before, tt.after), func(t *testing.T) {
+			h := newHangingServer(t)
+			w := start(t, nil, h.addr, "127.0.0.1:1", withDeadline(tt.before))
+			c := w.connect(t)
+			c.write(plainGet)
+			next(t, "request", h.arrived)
+			w.term()
+			w.schedule(t)
+			cfg := w.Config()
+			cfg.Settings.Config.Classes = append(cfg.Settings.Config.Classes[:0:0], cfg.Settings.Config.Classes...)
+			withDeadline(tt.after)(&cfg)
+			if err := w.Reload(cfg, config.Operator{}); err != nil {
+				t.Fatal(err)
+			}
+			w.ending.Lock()
+			want := shutdown.ForPlatform(w.told, shortDeadline)
+			w.ending.Unlock()
+			if resp, _ := c.read(t); resp.StatusCode/100 != 5 {
+				t.Errorf("answer %d", resp.StatusCode)
+			}
+			next(t, "end", w.over)
+			if late := time.Since(want.Exit); late > busyMachine {
+				t.Errorf("it ended %v after the exit", late)
+			}
+		})
+	}
+}
+
+// TestDeadlinesBeforeChanges: of the deadlines that settings had within the time in which the platform may go by them, the
+// shortest counts.
+func TestDeadlinesBeforeChanges(t *testing.T) {
+	settings := func(deadlines ...time.Duration) (cfg policy.Config) {
+		for _, d := range deadlines {
+			cfg.Classes = append(cfg.Classes, policy.Class{Deadline: d})
+		}
+		return cfg
+	}
+	began := time.Now()
+	at := func(d time.Duration) time.Time { return began.Add(d) }
+	var d deadlines
+	want := func(after, longest time.Duration) {
+		t.Helper()
+		if got := d.agreed(at(after)); got != longest {
+			t.Errorf("after %v: %v, want %v", after, got, longest)
+		}
+	}
+	d.set(settings(time.Second, 2*time.Second), began)
+	want(0, 2*time.Second)
+	d.set(settings(4*time.Second), at(time.Minute)) // longer: the former may still count
+	want(time.Minute, 2*time.Second)
+	want(time.Minute+changeTime+time.Millisecond, 4*time.Second)
+	d.set(settings(time.Second), at(time.Hour)) // shorter: it counts at once
+	want(time.Hour, time.Second)
+	d.set(settings(5*time.Second), at(time.Hour+time.Second))
+	d.set(settings(6*time.Second), at(time.Hour+2*time.Second)) // three in a row
+	want(time.Hour+2*time.Second, time.Second)
+	want(time.Hour+time.Second+changeTime+time.Millisecond, 5*time.Second)
+	want(2*time.Hour, 6*time.Second)
+	d.set(settings(), at(3*time.Hour))
+	want(4*time.Hour, shutdown.LongestAwaited)
+	if len(d.former) > 1 {
+		t.Errorf("%d former ones are kept", len(d.former))
+	}
+}
--- a/internal/daemon/world_test.go
+++ b/internal/daemon/world_test.go
@@ -85,6 +85,10 @@
 
 func (s *script) Uploaded(_ policy.Time, id policy.RequestID, _ policy.Actions) { s.uploaded <- id }
 
+func (s *script) StopSending(policy.Time, policy.RequestID, policy.Actions) {}
+
+func (s *script) GiveUp(_ policy.Time, id policy.RequestID, act policy.Actions) { act.Fail(id) }
+
 func (s *script) Reconfigure(policy.Config) error { return nil }
 
 func (s *script) Timer(_ policy.Time, token string, _ policy.Actions) { s.timers <- token }
@@ -366,3 +370,10 @@
 	}
 	return lerr
 }
+
+// contextThatEnded returns a context that has ended.
+func contextThatEnded(t *testing.T) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	return ctx, cancel
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -46,6 +46,8 @@
 	Reconfigure(policy.Config) error
 	Streaming(policy.Time, policy.RequestID, int, policy.Actions)
 	Uploaded(policy.Time, policy.RequestID, policy.Actions)
+	StopSending(policy.Time, policy.RequestID, policy.Actions)
+	GiveUp(policy.Time, policy.RequestID, policy.Actions)
 }
 
 // Endpoint is where a server is reached, and which one it is: an address may pass from one to another, and a server that
@@ -243,11 +245,16 @@
 // Hand hands an adopted request to the module, unless it has ended; first is run before, under the lock.
 func (e *Engine) Hand(r *Request, read policy.Time, first func()) {
 	e.event(func(now policy.Time) {
-		if r.adopted && !r.ended {
-			first()
-			r.adopted = false
-			e.hand(now, r, read)
+		if !r.adopted || r.ended {
+			return
+		}
+		if r.unsendable { // what it has waited for so far may have run
+			e.finish(r, Result{Kind: Failed, MayHaveRun: true})
+			return
 		}
+		first()
+		r.adopted = false
+		e.hand(now, r, read)
 	})
 }
 
@@ -257,7 +264,7 @@
 		return fmt.Errorf("%w: %q", ErrUnknownClass, r.Class)
 	}
 	switch {
-	case e.closing:
+	case e.closing || r.unsendable:
 		return ErrClosed
 	case r.Name != "" && e.names[r.Name] != nil:
 		return ErrNameOpen
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -27,15 +27,16 @@
 	// call the engine.
 	Ended func(result Result, withdrawn bool)
 
-	id       policy.RequestID
-	since    policy.Time // when it was taken
-	result   chan Result // of one place
-	attempts []*Attempt
-	out      int // attempts without an ending
-	ended    bool
-	adopted  bool // the module was not told of it
-	ran      bool // an attempt has ended that may have been executed
-	last     policy.Status
+	id         policy.RequestID
+	since      policy.Time // when it was taken
+	result     chan Result // of one place
+	attempts   []*Attempt
+	out        int // attempts without an ending
+	ended      bool
+	adopted    bool // the module was not told of it
+	unsendable bool // see StopSending
+	ran        bool // an attempt has ended that may have been executed
+	last       policy.Status
 }
 
 // callOff calls off the attempts of r that wait to be sent, but for one. It guards against sending what nobody waits for any more, after
--- a/internal/httpfront/idle_test.go
+++ b/internal/httpfront/idle_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"quillfront/internal/engine"
+	"quillfront/internal/shutdown"
 	"quillfront/internal/sockets"
 	"quillfront/internal/standin"
 	"quillfront/policy"
@@ -113,7 +114,7 @@
 		s.mu.Lock()
 		s.over = true // no further sweep by itself
 		s.conns[c] = struct{}{}
-		s.ending = true
+		s.schedule = shutdown.Within(time.Now(), time.Minute)
 		s.sweep()
 		if _, stays := s.conns[c]; stays != tt.stays {
 			t.Errorf("%s: it stays: %v, want %v", tt.name, stays, tt.stays)
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -24,6 +24,7 @@
 	"quillfront/internal/httpcall"
 	"quillfront/internal/httpmsg"
 	"quillfront/internal/orders"
+	"quillfront/internal/shutdown"
 	"quillfront/internal/sockets"
 )
 
@@ -65,12 +66,6 @@
 	// lingerTime is how long what a client still sends is read and dropped after its request was turned away, so that
 	// the answer reaches it before a reset does.
 	lingerTime = 300 * time.Millisecond
-	// sweepEvery is how often a server that drains looks for quiet connections, and freshTime how long a new one may be quiet
-	// then: it was opened to be used at once. usedTime is the same of one that was used: a client that asks again and again is about to,
-	// and learns with its next answer that the connection ends, while a request that crosses the close is turned back unheard.
-	sweepEvery = 20 * time.Millisecond
-	freshTime  = time.Second
-	usedTime   = 100 * time.Millisecond
 	// lookEvery is how often a connection is looked at whose client could leave unheard: see unheard. What it waits for is not sent on
 	// 0.3 s later.
 	lookEvery = 50 * time.Millisecond
@@ -99,20 +94,34 @@
 
 	mu       sync.Mutex
 	conns    map[*clientConn]struct{} // bounded by sockets
-	ending   bool                     // no way back: see Drain
-	by       time.Time                // when the last answer has to be written; zero: not ending
+	schedule shutdown.Schedule        // of the end, which course runs; zero: not ending. There is no way back: see Drain
 	away     bool                     // until Rejoin: see Evacuate
 	over     bool                     // all are closed for good
 	sweeping bool                     // quiet connections are being closed
-	open     sync.WaitGroup           // their goroutines
+
+	course        *shutdown.Course
+	unanswered    context.Context // ends once all that was read has to be answered
+	answersDue    context.CancelFunc
+	accepting     context.Context // ends once no connection is accepted any more
+	stopAccepting context.CancelFunc
+	served        chan struct{}  // closed once Serve has ended
+	open          sync.WaitGroup // the goroutines of connections
 }
 
 // New returns a server that takes its descriptors from b, and holds bodies in room. Requests pass through desk, if there is one.
 func New(e *engine.Engine, desk *orders.Desk, room *semaphore.Weighted, b *sockets.Budget, log *slog.Logger) *Server {
-	return &Server{
-		engine: e, desk: desk, room: room, sockets: b, log: log, conns: map[*clientConn]struct{}{},
-		limits: limits{head: mostClientHead, headTime: headTime, idle: idleTime, keepAlive: keepAlive, bodyStall: bodyStall, bodyRate: bodyRate, stream: streamTime},
-	}
+	s := newServer(b, log)
+	s.engine, s.desk, s.room = e, desk, room
+	s.limits = limits{head: mostClientHead, headTime: headTime, idle: idleTime, keepAlive: keepAlive, bodyStall: bodyStall, bodyRate: bodyRate, stream: streamTime}
+	return s
+}
+
+func newServer(b *sockets.Budget, log *slog.Logger) *Server {
+	s := &Server{sockets: b, log: log, conns: map[*clientConn]struct{}{}, served: make(chan struct{})}
+	s.course = shutdown.NewCourse(s.stopForwarding, s.answerAll)
+	s.unanswered, s.answersDue = context.WithCancel(context.Background())
+	s.accepting, s.stopAccepting = context.WithCancel(context.Background())
+	return s
 }
 
 // limits are those of a client's connection.
@@ -150,10 +159,17 @@
 	bare    bool         // the answer to the present request has no body
 	phase   phase
 	since   time.Time   // of that phase
-	by      time.Time   // Server.by as it began
+	open    openRequest // while it is serving; under the server's lock
+	endless bool        // its answer ends with the connection, and has not ended; under the server's lock
 	heard   atomic.Bool // something has been read since it fell quiet
 }
 
+// openRequest is a request that was handed to an engine, or is about to be.
+type openRequest struct {
+	engine  *engine.Engine
+	request *engine.Request
+}
+
 // Read is the method of net.Conn.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -163,14 +179,16 @@
 	return n, err
 }
 
-// Serve accepts connections until ln ends. It takes a descriptor for each before: while there is none free,
-// connections wait in the kernel's backlog.
+// Serve accepts connections until ln ends, or the server does. It takes a descriptor for each before: while there is none
+// free, connections wait in the kernel's backlog. It closes ln, and is called once at most.
 func (s *Server) Serve(ln net.Listener) error {
+	defer close(s.served)
 	defer ln.Close()
+	defer context.AfterFunc(s.accepting, func() { ln.Close() })()
 	for {
-		release, err := s.sockets.AcquireClient(context.Background())
+		release, err := s.sockets.AcquireClient(s.accepting)
 		if err != nil {
-			return err
+			return net.ErrClosed
 		}
 		nc, err := ln.Accept()
 		if err != nil {
@@ -187,15 +205,20 @@
 	}
 }
 
-// take serves a new connection, and calls release once it has ended.
+// take serves a new connection, and calls release once it has ended. One that comes after the last was accepted is closed.
 func (s *Server) take(nc net.Conn, release func()) {
 	c := &clientConn{
 		Conn: nc, release: release, peek: sockets.NewPeeker(nc), since: time.Now(), more: make(chan error, 1),
 	}
 	c.r = bufio.NewReaderSize(c, s.limits.head)
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.accepting.Err() != nil {
+		nc.Close()
+		release()
+		return
+	}
 	s.conns[c] = struct{}{}
-	s.mu.Unlock()
 	s.open.Go(func() { s.serve(c) })
 }
 
@@ -203,17 +226,42 @@
 func (s *Server) enter(c *clientConn, p phase) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.by = s.by
+	return s.enterLocked(c, p)
+}
+
+// enterLocked is enter with the lock held.
+func (s *Server) enterLocked(c *clientConn, p phase) bool {
 	if _, ok := s.conns[c]; !ok {
 		return false
 	}
-	c.phase, c.since = p, time.Now()
+	c.phase, c.since, c.open = p, time.Now(), openRequest{}
 	if p == serving { // all that came is taken, and nobody reads: what is heard from now on is the next request
 		c.heard.Store(false)
 	}
 	return true
 }
 
+// mayServe notes that c is about to have its request r handed to e, or returns why it may not be. From then on the
+// server sees to it that r has its result in time when it ends.
+//
+// A client that has gone gets nothing sent. It guards against sending on what nobody waits for any more, after a wait for
+// a place, for room or for a turn of this goroutine: nobody has listened to the connection meanwhile. It costs a look at
+// each connection; a client that ends its sending with its request, and yet reads, is taken for one that has gone, here
+// as later.
+func (s *Server) mayServe(c *clientConn, e *engine.Engine, r *engine.Request) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.enterLocked(c, serving) || c.peek.Ended() {
+		return errGone
+	}
+	if !s.schedule.MayForward(time.Now()) {
+		return errEnding
+	}
+	r.By = s.schedule.Answer
+	c.open = openRequest{e, r}
+	return nil
+}
+
 // crowded reports whether clients hold so many connections that none is worth keeping. It guards against clients that ask
 // once and keep their connection, a new one for each request: however fast they are, they cannot use up the connections
 // that the application may have before idleTime ends the first of them, nor the sidecar's own. It says so with the
@@ -228,6 +276,9 @@
 func (s *Server) drop(c *clientConn) {
 	if _, ok := s.conns[c]; ok {
 		delete(s.conns, c)
+		if tcp, ok := c.Conn.(*net.TCPConn); ok && c.endless { // an orderly end would pass for that of the answer
+			tcp.SetLinger(0)
+		}
 		c.Conn.Close()
 		c.release()
 	}
@@ -269,84 +320,6 @@
 	return true
 }
 
-// Drain makes every answer the last one of its connection, and closes those on which none is owed: a request that
-// crosses this comes again on a new connection, which is still accepted. What still comes has its answer until by, however long its client
-// would wait: nobody will be there to give it later. A zero by sets no bound. It is not undone by Rejoin.
-func (s *Server) Drain(by time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ending, s.by = true, by
-	s.sweep()
-}
-
-// Evacuate does what Drain does, and has the sidecar say that it is not ready, until Rejoin. New connections are still
-// served: whoever sends clients here learns of it only after a while.
-func (s *Server) Evacuate() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.away = true
-	s.sweep()
-}
-
-// Rejoin ends what Evacuate began.
-func (s *Server) Rejoin() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.away = false
-}
-
-// draining reports whether connections are not kept. Called with the lock held.
-func (s *Server) draining() bool { return s.ending || s.away }
-
-// sweep closes quiet connections now and as they become quiet, as long as the server drains. Each is closed after a look
-// that nothing has come, never because of its phase alone: an answer that was written just before did not say that its
-// connection ends, and the next request may be there. Called with the lock held.
-func (s *Server) sweep() {
-	for c := range s.conns {
-		quiet := time.Since(c.since)
-		if (c.phase == idle && quiet >= usedTime || c.phase == fresh && quiet >= freshTime) && !c.heard.Load() && c.peek.NothingCame() {
-			s.drop(c)
-		}
-	}
-	if s.sweeping {
-		return
-	}
-	s.sweeping = true
-	time.AfterFunc(sweepEvery, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.sweeping = false
-		if s.draining() && !s.over {
-			s.sweep()
-		}
-	})
-}
-
-// Wait waits until all connections have ended, or ctx has, and reports whether they have.
-func (s *Server) Wait(ctx context.Context) bool {
-	done := make(chan struct{})
-	go func() {
-		s.open.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// CloseAll closes all connections, for good.
-func (s *Server) CloseAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.over = true
-	for c := range s.conns {
-		s.drop(c)
-	}
-}
-
 // serve serves one connection: a request after the other.
 func (s *Server) serve(c *clientConn) {
 	defer func() {
@@ -360,6 +333,10 @@
 		if err := c.next(); err != nil && !s.crossed(c, err) || !s.enter(c, reading) {
 			return
 		}
+		if s.unanswered.Err() != nil {
+			s.reject(c, errEnding)
+			return
+		}
 		if now := time.Now(); !first || now.After(until) {
 			c.SetReadDeadline(now.Add(s.limits.headTime))
 		}
@@ -482,9 +459,10 @@
 	}
 	if m.Rest == nil && c.r.Buffered() > 0 {
 		err = errCrowd
-	} else if !s.enter(c, serving) || s.left(c) {
-		err = errGone
-	} else if err = s.hand(c, r, &call, m); errors.Is(err, engine.ErrNameOpen) {
+	} else if err = s.mayServe(c, s.engine, r); err == nil {
+		err = s.hand(r, &call, m)
+	}
+	if errors.Is(err, engine.ErrNameOpen) {
 		err = httpcall.Rejection{Status: http.StatusConflict, Text: "a request with this X-Request-ID is open"}
 	} else if errors.Is(err, orders.ErrMismatch) {
 		err = httpcall.Rejection{Status: http.StatusUnprocessableEntity, Text: err.Error()}
@@ -500,9 +478,7 @@
 	return r, keep, m.Rest, nil
 }
 
-// left reports whether c's client has gone. Guards against sending on what nobody waits for any more, after a wait for a place, for room or
-// for a turn of this goroutine: nobody has listened to the connection meanwhile. It costs a look at each connection; a client that ends its
-// sending with its request, and yet reads, is taken for one that has gone, here as later.
+// left reports whether c's client has gone; see mayServe.
 func (s *Server) left(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -510,8 +486,7 @@
 }
 
 // hand hands a request on.
-func (s *Server) hand(c *clientConn, r *engine.Request, call *httpcall.Call, m *httpmsg.Message) error {
-	r.By = c.by
+func (s *Server) hand(r *engine.Request, call *httpcall.Call, m *httpmsg.Message) error {
 	if s.desk == nil || call.IdempotencyKey == "" {
 		return s.engine.Take(r, s.engine.Now())
 	}
@@ -535,6 +510,8 @@
 	// errCrowd guards against clients that write many requests at once: the protocol has one at a time, and what
 	// came behind would be held unread or served out of turn.
 	errCrowd = httpcall.Rejection{Status: http.StatusBadRequest, Text: "more came before the answer: one request at a time"}
+	// errEnding is for requests that are read too late in a shutdown to be forwarded.
+	errEnding = httpcall.Rejection{Status: http.StatusServiceUnavailable, Text: "shutting down"}
 )
 
 // answer waits for the final answer to r and writes it. It reports whether the connection can go on. The wait for what
@@ -649,6 +626,8 @@
 		ans = re
 	case errors.Is(err, errGone) || errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed):
 		return
+	case isTimeout(err) && s.unanswered.Err() != nil:
+		ans = errEnding
 	case isTimeout(err):
 		ans = httpcall.Rejection{Status: http.StatusRequestTimeout, Text: "the request did not come whole in time"}
 	case errors.Is(err, httpmsg.ErrHeadTooLong):
@@ -699,7 +678,7 @@
 	}
 	until := time.Now().Add(bodyTime)
 	if n <= httpmsg.MaxWhole && !s.room.TryAcquire(n) {
-		ctx, cancel := context.WithDeadline(context.Background(), until)
+		ctx, cancel := context.WithDeadline(s.unanswered, until)
 		defer cancel()
 		if s.room.Acquire(ctx, n) != nil {
 			return httpcall.Rejection{Status: http.StatusServiceUnavailable, Text: "no room for the body"}
@@ -852,6 +831,7 @@
 // of the connection would end the body.
 func (s *Server) stream(c *clientConn, head []byte, a *httpmsg.Answer, chunked bool) bool {
 	defer a.Rest.Close()
+	s.setEndless(c, !chunked && a.Length < 0)
 	var size [20]byte
 	piece := func(first, b []byte) error {
 		c.SetWriteDeadline(time.Now().Add(s.limits.stream))
@@ -891,14 +871,19 @@
 			err = io.EOF
 		}
 	}
-	if err != io.EOF && !chunked && a.Length < 0 {
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
-		}
+	if err == io.EOF {
+		s.setEndless(c, false)
 	}
 	return err == io.EOF
 }
 
+// setEndless notes whether c has an answer which only the end of the connection will end, and which has not come to it.
+func (s *Server) setEndless(c *clientConn, is bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.endless = is
+}
+
 // lastChunk is the end of an answer in chunks.
 func lastChunk(a *httpmsg.Answer) []byte {
 	b := []byte("0\r\n")
--- a/internal/httpfront/whole.go
+++ b/internal/httpfront/whole.go
@@ -44,7 +44,8 @@
 
 // NewWhole returns a server of w that takes its descriptors from b.
 func NewWhole(w Whole, b *sockets.Budget, log *slog.Logger) *Server {
-	s := &Server{whole: &w, sockets: b, log: log, conns: map[*clientConn]struct{}{}}
+	s := newServer(b, log)
+	s.whole = &w
 	s.limits = limits{
 		head: w.MostHead, headTime: w.HeadTime, idle: w.Idle, bodyStall: w.Stall, bodyRate: max(w.Rate, 1), stream: w.Stall,
 		keepAlive: fmt.Sprintf("Keep-Alive: timeout=%d\r\n", max(1, int(w.Idle/time.Second)-1)), // less than it is: see keepAlive
@@ -137,9 +138,10 @@
 		q.Request.Release = func() { room.Release(n) }
 	}
 	r = q.Request
-	if !s.enter(c, serving) || s.left(c) {
-		err = errGone
-	} else if err = q.Engine.Take(r, q.Engine.Now()); errors.Is(err, engine.ErrClosed) || errors.Is(err, engine.ErrUnknownClass) {
+	if err = s.mayServe(c, q.Engine, r); err == nil {
+		err = q.Engine.Take(r, q.Engine.Now())
+	}
+	if errors.Is(err, engine.ErrClosed) || errors.Is(err, engine.ErrUnknownClass) {
 		err = refuse(http.StatusServiceUnavailable, err.Error())
 	}
 	if err != nil {
--- a/internal/mysql/proxy/client.go
+++ b/internal/mysql/proxy/client.go
@@ -168,7 +168,7 @@
 
 // look deals with a session at rest: its connection is given back once it was held for long enough or its server takes nothing new, and
 // the session ends where its time is up.
-func (s *client) look(now, ending time.Time) {
+func (s *client) look(now time.Time) {
 	if !s.mu.TryLock() {
 		return
 	}
@@ -206,7 +206,7 @@
 	}
 	s.bound.Store(s.x != nil && (s.forever || s.state.Bound()))
 	switch {
-	case !ending.IsZero() && (!s.bound.Load() || now.Sub(ending) >= f.cfg.Patience):
+	case !f.door.Ending().IsZero() && (!s.bound.Load() || f.ending().MustAnswer(now)):
 		s.shut(wire.Closing("the proxy is ending"))
 	case now.Sub(s.rested) >= f.cfg.Idle:
 		s.shut(&wire.Error{Code: 4031, State: "HY000", Message: "The client was disconnected because of inactivity"})
@@ -274,6 +274,10 @@
 	if len(b) == 0 {
 		return s.unread(wire.ErrMalformed)
 	}
+	if !s.f.ending().MayForward(time.Now()) {
+		s.fail(wire.Closing("the proxy is ending"))
+		return errEnd
+	}
 	return s.command(wire.Command(b[0]), b)
 }
 
@@ -503,7 +507,10 @@
 		select {
 		case result := <-r.Result():
 			return result, true
-		case <-tick.C:
+		case now := <-tick.C:
+			if s.f.ending().MustAnswer(now) {
+				s.f.pool.GiveUp(r)
+			}
 			if !s.gone() {
 				continue
 			}
@@ -617,6 +624,9 @@
 func (s *client) firstOf(x *exchange, c wire.Command) error {
 	until := x.until
 	for {
+		if end := s.f.ending(); !end.IsZero() && end.Answer.Before(until) {
+			until = end.Answer
+		}
 		if next := time.Now().Add(watchEvery); next.Before(until) {
 			x.until = next
 		} else {
--- a/internal/mysql/proxy/front.go
+++ b/internal/mysql/proxy/front.go
@@ -16,6 +16,7 @@
 	"quillfront/internal/guests"
 	"quillfront/internal/mysql/wire"
 	"quillfront/internal/pool"
+	"quillfront/internal/shutdown"
 	"quillfront/internal/sockets"
 )
 
@@ -35,6 +36,7 @@
 	door      *door.Door
 	room      *semaphore.Weighted // for the bytes of statements
 	log       *slog.Logger
+	schedule  atomic.Pointer[shutdown.Schedule] // of the end; nil: it is not to end
 
 	mu       sync.Mutex
 	sessions map[uint32]*client
@@ -140,21 +142,33 @@
 			return
 		case <-tick.C:
 		}
-		ending, now := f.door.Ending(), time.Now()
+		now := time.Now()
 		for _, s := range f.all() {
-			s.look(now, ending)
+			s.look(now)
 		}
 	}
 }
 
-// Shutdown takes nobody new, closes sessions as they come to rest outside of a transaction, and all that are left after the patience.
-// If ctx ends before, they are cut off.
+// Shutdown takes nobody new, closes sessions as they come to rest outside of a transaction, and all that are left as the
+// patience ends. A statement that has no answer then is told as one that may have run. If ctx ends before, they are cut off.
 func (f *Front) Shutdown(ctx context.Context) error {
+	schedule := shutdown.WithinContext(ctx, f.cfg.Patience)
+	f.schedule.Store(&schedule)
+	ctx, cancel := context.WithDeadline(ctx, schedule.Exit)
+	defer cancel()
 	err := f.door.Wait(ctx)
 	f.Close()
 	return err
 }
 
+// ending returns the schedule by which the front ends; it is zero as long as it is not to.
+func (f *Front) ending() shutdown.Schedule {
+	if s := f.schedule.Load(); s != nil {
+		return *s
+	}
+	return shutdown.Schedule{}
+}
+
 // Close cuts all sessions off, and returns once nothing of the front runs.
 func (f *Front) Close() {
 	f.door.Close(func() {
--- a/internal/mysql/proxy/hard_test.go
+++ b/internal/mysql/proxy/hard_test.go
@@ -717,6 +717,53 @@
 	}
 }
 
+// TestShutdownWhileStatementsHang: statements whose server says nothing, of a session that is bound and of one that is not, are answered
+// truthfully before the patience is over (one may have run, the other's transaction is rolled back), however long their deadline is, and a statement that comes after the last was
+// forwarded is not sent.
+func TestShutdownWhileStatementsHang(t *testing.T) {
+	const patience = 800 * time.Millisecond
+	w := open(t, options{deadline: time.Minute, proxy: Config{Patience: patience}})
+	var hung atomic.Int32
+	w.make(func(_, sql string) standin.Trouble {
+		if !strings.HasPrefix(sql, "INSERT") {
+			return standin.Trouble{}
+		}
+		hung.Add(1)
+		return standin.Trouble{Silent: true}
+	})
+	free, tx, late := w.session(""), begin(t, w.client("")), begin(t, w.client(""))
+	answers := make(chan [2]any, 2) // its id, and the error's code
+	insert := func(c interface {
+		ExecContext(context.Context, string, ...any) (sql.Result, error)
+	}, id string) {
+		answers <- [2]any{id, code(exec(t, c, "INSERT INTO orders (id, item, qty) VALUES ('"+id+"', 'x', 1)"))}
+	}
+	go insert(free, "A1")
+	go insert(tx, "A2")
+	until(t, "both hang", func() bool { return hung.Load() == 2 })
+	began := time.Now()
+	ended := make(chan error, 1)
+	go func() { ended <- w.Shutdown(context.Background()) }()
+	for range 2 {
+		a := <-answers
+		want := map[any]uint16{"A1": wire.Unknown("").Code, "A2": wire.RolledBack("").Code}[a[0]]
+		if a[1] != want {
+			t.Errorf("%v: error %v, want %v", a[0], a[1], want)
+		}
+	}
+	if took := time.Since(began); took > patience+2*time.Second {
+		t.Errorf("the answers took %v of a patience of %v", took, patience)
+	}
+	exec(t, late, "INSERT INTO orders (id, item, qty) VALUES ('A3', 'x', 1)")
+	if hung.Load() > 2 {
+		t.Error("a statement was sent behind the last answers")
+	}
+	<-ended
+	if took := time.Since(began); took > patience+2*time.Second {
+		t.Errorf("the end took %v of a patience of %v", took, patience)
+	}
+}
+
 // TestRefusedTruthfully: with no server that can be reached a write is called not run, and it was not.
 func TestRefusedTruthfully(t *testing.T) {
 	w := open(t, options{servers: 1, deadline: time.Second})
--- a/internal/services/http.go
+++ b/internal/services/http.go
@@ -1,7 +1,9 @@
 package services
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -18,6 +20,7 @@
 	"quillfront/internal/pool"
 	"quillfront/internal/router"
 	"quillfront/internal/settings"
+	"quillfront/internal/shutdown"
 	"quillfront/internal/sockets"
 	"quillfront/internal/upstream"
 	"quillfront/policy"
@@ -445,15 +448,13 @@
 	*httpfront.Server
 	patience time.Duration
 
-	mu     sync.Mutex
-	ln     *sockets.Backlog // nil: it has not begun
-	ended  bool
-	served chan struct{} // closed once nothing is accepted any more
+	mu    sync.Mutex
+	ln    *sockets.Backlog // nil: it has not begun
+	ended bool
 }
 
 // Serve is a method of front.
 func (f *webFront) Serve(ln net.Listener) error {
-	defer close(f.served)
 	b := sockets.NewBacklog(ln.(*net.TCPListener))
 	f.mu.Lock()
 	f.ln = b
@@ -466,30 +467,30 @@
 	return f.Server.Serve(b)
 }
 
-// Shutdown is a method of front: connections that are quiet are closed, answers say that theirs ends, and what is not answered after the
-// patience is cut off in a way that its client can tell.
+// Shutdown is a method of front: connections that are quiet are closed, answers say that theirs ends, and what is not
+// answered shortly before the patience is over is given up, with an answer that says so. An answer that is still coming
+// then is cut off in a way that its client can tell.
 func (f *webFront) Shutdown(ctx context.Context) error {
-	f.Drain(time.Time{}) // the patience bounds all alike
-	ctx, cancel := context.WithTimeout(ctx, f.patience)
-	defer cancel()
+	f.Drain(shutdown.WithinContext(ctx, f.patience))
+	defer context.AfterFunc(ctx, f.CloseAll)()
 	f.mu.Lock()
 	ln := f.ln
 	f.ended = true
 	f.mu.Unlock()
-	if ln != nil { // what waits there has been accepted by the machine: it is served
+	if ln == nil { // it has not begun
+		f.CloseAll()
+	} else { // what waits there has been accepted by the machine: it is served
 		ln.Drain(time.Now().Add(lateConns))
-		select {
-		case <-f.served:
-		case <-ctx.Done():
-		}
 	}
-	if !f.Wait(ctx) {
-		f.CloseAll()
-		return ctx.Err()
+	if !f.Wait() {
+		return cmp.Or(ctx.Err(), errCutOff)
 	}
 	return nil
 }
 
+// errCutOff tells that connections with requests or answers on them were closed at the end of the patience.
+var errCutOff = errors.New("not all had ended as the patience was over")
+
 // Close is a method of front.
 func (f *webFront) Close() {
 	f.mu.Lock()
@@ -497,14 +498,13 @@
 		f.ln.Close()
 	}
 	f.mu.Unlock()
-	f.CloseAll()
-	f.Wait(context.Background())
+	f.Server.Close()
 }
 
 func (s *Services) http(c config.HTTP) {
 	whole := c.Whole
 	whole.Router = s.web.router
-	f := &webFront{Server: httpfront.NewWhole(whole, s.budget, s.log.With("http", c.Name)), patience: c.Patience, served: make(chan struct{})}
+	f := &webFront{Server: httpfront.NewWhole(whole, s.budget, s.log.With("http", c.Name)), patience: c.Patience}
 	s.all = append(s.all, &service{
 		kind: "http", name: c.Name, listen: c.Listen, front: f, makeRoom: func() bool { return s.web.makeRoom(nil) }, close: func() {},
 		clients: f.Server,
--- a/internal/standin/memory.go
+++ b/internal/standin/memory.go
@@ -98,3 +98,9 @@
 
 // Withdrawn is the method of engine.Module.
 func (Once) Withdrawn(_ policy.Time, id policy.RequestID, act policy.Actions) { act.Cancel(id, 0) }
+
+// StopSending is the method of engine.Module. There is never a further attempt.
+func (Once) StopSending(policy.Time, policy.RequestID, policy.Actions) {}
+
+// GiveUp is the method of engine.Module.
+func (Once) GiveUp(_ policy.Time, id policy.RequestID, act policy.Actions) { act.Fail(id) }
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -36,6 +36,7 @@
 	attempts []openAttempt
 	answers  int
 	ended    bool
+	stopped  bool // nothing more may be sent for it
 }
 
 type openAttempt struct {
@@ -62,6 +63,8 @@
 	case !ok:
 		c.breach("send to the unknown server %s", s)
 		return
+	case r.stopped:
+		c.breach("send for request %d, for which nothing more may be sent", id)
 	case c.drained[s]:
 		c.breach("send to %s, which drains or is gone", s)
 	case len(r.attempts) >= c.cfg.MaxAttempts:
@@ -268,7 +271,7 @@
 				}
 			}
 		}
-		switch rng.IntN(12) {
+		switch rng.IntN(14) {
 		case 0:
 			update(ListKind(rng.IntN(4)), draw(rng.IntN(5)))
 		case 1, 2, 3, 4:
@@ -295,6 +298,24 @@
 				r.ended = true
 				b.Withdrawn(c.now, r.ID, c)
 			}
+		case 12:
+			if len(ids) > 0 {
+				r := c.requests[ids[rng.IntN(len(ids))]]
+				r.stopped = true
+				b.StopSending(c.now, r.ID, c)
+				if out := slices.ContainsFunc(r.attempts, func(a openAttempt) bool { return a.out }); !out && !r.ended {
+					c.breach("request %d has nothing out, may have nothing more sent, and is left open", r.ID)
+				}
+			}
+		case 13:
+			if len(ids) > 0 {
+				r := c.requests[ids[rng.IntN(len(ids))]]
+				r.stopped = true
+				b.GiveUp(c.now, r.ID, c)
+				if !r.ended {
+					c.breach("request %d is given up and left open", r.ID)
+				}
+			}
 		case 6, 7:
 			if len(c.probes) > 0 {
 				p := c.probes[0]
