Count a shutdown from its signal, also in the middle of a reload or of an upgrade's start

Cause: the schedule began when Sidecar.Serve noticed the signal, behind a log line that waits for the engine's lock, so a reload that stood still put the shutdown off; and a process that was told to end while it started on an inherited socket went without answering what its predecessor had left there, as it counted as the successor.

Change: main notes the moment at which its context ends (shutdown.WithMoment); the schedule is computed from that, before anything that may wait. A process on an inherited socket goes through its shutdown even if it was told to end before it served.

--- a/cmd/quillfront/main.go
+++ b/cmd/quillfront/main.go
@@ -15,11 +15,14 @@
 
 	"quillfront/internal/config"
 	"quillfront/internal/daemon"
+	"quillfront/internal/shutdown"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	ctx, forget := shutdown.WithMoment(ctx)
+	defer forget()
 	if err := root().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "quillfront:", err)
 		stop()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -168,10 +168,10 @@
 	return discovery.Client{Addr: cfg.Discovery, Pushed: cfg.Settings.Config.Pushed}
 }
 
-// Run serves until ctx ends, and then drains. It returns once all that was taken is answered. It does not begin to serve
-// if ctx has ended before.
+// Run serves until ctx ends, and then drains. It returns once all that was taken is answered. If ctx has ended
+// before, it opens no address; at a socket that the platform holds open there may be connections that nobody else takes.
 func (s *Sidecar) Run(ctx context.Context) error {
-	if ctx.Err() != nil { // the schedule of the end would begin too late
+	if ctx.Err() != nil && s.cfg.AcceptFD == 0 {
 		s.close()
 		return nil
 	}
@@ -243,8 +243,8 @@
 	case <-ctx.Done():
 	}
 	s.serving.Store(false)
-	s.log.Info("draining", "load", s.engine.String())
-	schedule := s.beginShutdown(time.Now())
+	schedule := s.beginShutdown(shutdown.Moment(ctx))
+	s.log.Info("draining", "load", s.engine.String(), "exit", time.Until(schedule.Exit).Round(time.Millisecond))
 	if s.succeeded() {
 		ln.Close() // what waits in the socket's queue is the other process's
 	} else {
--- a/internal/daemon/shutdown_test.go
+++ b/internal/daemon/shutdown_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -311,3 +314,102 @@
 		t.Errorf("%d former ones are kept", len(d.former))
 	}
 }
+
+// TestTermInTheMiddleOfAReload: a shutdown begins though a reload stands still, and goes by the new deadlines once it is through.
+func TestTermInTheMiddleOfAReload(t *testing.T) {
+	h := newHangingServer(t)
+	m := newScript()
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	w := start(t, m, h.addr, "127.0.0.1:1", withDeadline(3*time.Second))
+	c := w.connect(t)
+	c.write(plainGet)
+	next(t, "request", h.arrived)
+	m.retune = func() {
+		close(begun)
+		<-goOn
+	}
+	cfg := w.Config()
+	cfg.Settings.Config.Classes = slices.Clone(cfg.Settings.Config.Classes)
+	withDeadline(shortDeadline)(&cfg)
+	reloaded := make(chan error, 1)
+	go func() { reloaded <- w.Reload(cfg, config.Operator{}) }()
+	<-begun
+	m.retune = nil // what the change settles to comes later
+	w.term()
+	schedule := w.schedule(t)
+	close(goOn)
+	if err := next(t, "end of the reload", reloaded); err != nil {
+		t.Error(err)
+	}
+	if resp, _ := c.read(t); resp.StatusCode/100 != 5 {
+		t.Errorf("answer %d", resp.StatusCode)
+	}
+	next(t, "end", w.over)
+	if early := schedule.Exit.Sub(time.Now()); early < 3*time.Second-shortDeadline-busyMachine {
+		t.Errorf("it ended %v before the exit of the former deadlines", early)
+	}
+}
+
+// TestTermInTheMiddleOfAnUpgrade: a newer process that is told to end before it serves answers what waits at the common socket, as
+// the older one has left that to it.
+func TestTermInTheMiddleOfAnUpgrade(t *testing.T) {
+	platform, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer platform.Close()
+	socket, err := platform.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	shared := t.TempDir() + "/shared"
+	server := peer(t, say(okAnswer))
+	process := func() *Sidecar {
+		cfg, err := loadText(t, configText(server, "127.0.0.1:1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg.Shared = shared
+		if cfg.AcceptFD, err = syscall.Dup(int(socket.Fd())); err != nil {
+			t.Fatal(err)
+		}
+		s, err := New(cfg, config.Operator{}, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	run := func(s *Sidecar, ctx context.Context) chan error {
+		over := make(chan error, 1)
+		go func() { over <- s.Run(ctx) }()
+		return over
+	}
+	ctx, termOlder := context.WithCancel(context.Background())
+	defer termOlder()
+	older := process()
+	olderOver := run(older, ctx)
+	eventually(t, "the older one serves", older.serving.Load)
+	newer := process()
+	termOlder()
+	if err := next(t, "end of the older one", olderOver); err != nil {
+		t.Error(err)
+	}
+	conn, err := net.Dial("tcp", platform.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	c := &client{conn, bufio.NewReader(conn)}
+	c.write(plainGet)
+	ended, cancel := contextThatEnded(t)
+	defer cancel()
+	newerOver := run(newer, ended)
+	if resp, _ := c.read(t); resp.StatusCode != http.StatusOK {
+		t.Errorf("answer %d", resp.StatusCode)
+	}
+	if err := next(t, "end of the newer one", newerOver); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/daemon/world_test.go
+++ b/internal/daemon/world_test.go
@@ -28,6 +28,7 @@
 // script is a decision module whose decisions the test makes. It records the events that it gets.
 type script struct {
 	request   func(now policy.Time, q policy.Request, act policy.Actions) // nil: send to server "a"
+	retune    func()                                                      // called as the settings change; nil: nothing is
 	outcome   func(o policy.Outcome, act policy.Actions)                  // nil: fail a request that is left open
 	outcomes  chan policy.Outcome
 	probed    chan policy.ProbeResult
@@ -89,7 +90,12 @@
 
 func (s *script) GiveUp(_ policy.Time, id policy.RequestID, act policy.Actions) { act.Fail(id) }
 
-func (s *script) Reconfigure(policy.Config) error { return nil }
+func (s *script) Reconfigure(policy.Config) error {
+	if s.retune != nil {
+		s.retune()
+	}
+	return nil
+}
 
 func (s *script) Timer(_ policy.Time, token string, _ policy.Actions) { s.timers <- token }
 
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -174,3 +174,23 @@
 		}
 	})
 }
+
+// TestMoment: a context tells when it ended, however late it is asked, and one without a note that it is now.
+func TestMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		noted, stop := WithMoment(ctx)
+		defer stop()
+		time.Sleep(time.Second)
+		want := time.Now()
+		cancel()
+		synctest.Wait()
+		time.Sleep(time.Second)
+		if got := Moment(noted); !got.Equal(want) {
+			t.Errorf("%v after it ended", got.Sub(want))
+		}
+		if got := Moment(ctx); !got.Equal(time.Now()) {
+			t.Errorf("without a note: %v, want now", got)
+		}
+	})
+}
