Leave cold servers room for chance, and give smaller ones a smaller share

Cause: slow start held a cold server for what it comes to in half of the ramp wherever servers stand twice their present capacity (TipMultiple >= 2).

A server whose weight is below the mean gets that much less while it is cold; without weights nothing changes.

TestWarmthLeavesRoom fails without the change. TestScripts: the same actions as before.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -33,6 +33,34 @@
 	}
 }
 
+// TestWarmthLeavesRoom guards against pushing a cold server over with no more than its share of a busy fleet's traffic: what it is
+// held for stays below what it stands by a margin for chance, and a server that the list has for smaller gets less.
+func TestWarmthLeavesRoom(t *testing.T) {
+	const margin = 1.2
+	for _, multiple := range []float64{2, 2.5, 3, 10} {
+		cfg := testConfig()
+		cfg.ColdFrom, cfg.TipMultiple, cfg.Ramp = 0.15, multiple, 9*time.Second
+		b, _ := start(t, cfg, 4)
+		now := time.Minute
+		large, small := b.servers["s0"], b.servers["s1"]
+		for _, s := range b.servers {
+			s.Weight = 6
+		}
+		small.Weight = 2
+		b.rebuild() // the mean is 5
+		for age := time.Duration(0); age <= cfg.Ramp; age += 50 * time.Millisecond {
+			large.Started, small.Started = now-age, now-age
+			can := cfg.ColdFrom + (1-cfg.ColdFrom)*float64(age)/float64(cfg.Ramp)
+			if w := b.warmth(now, large); w*margin > can*multiple {
+				t.Errorf("multiple %v, age %v: held for %.2f, can do %.2f", multiple, age, w, can)
+			}
+			if w, of := b.warmth(now, small), b.warmth(now, large); w < 1 && math.Abs(w-of*2/5) > 1e-9 {
+				t.Errorf("multiple %v, age %v: a small one is held for %.2f, a large one for %.2f", multiple, age, w, of)
+			}
+		}
+	}
+}
+
 // TestQueuesByWhatIsSeen: a sidecar that sends little lets a request wait for a short queue only, by the request's worth; one
 // that sends much lets it have all of the time that it has left, less a band, and what is worth a quarter half of that.
 func TestQueuesByWhatIsSeen(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,17 +55,18 @@
 
 // Balancer decides for one sidecar. It is not safe for concurrent use.
 type Balancer struct {
-	cfg      Config
-	rng      *rand.Rand
-	classes  map[string]*class
-	servers  map[ServerID]*server
-	ready    []*server // ready servers in this sidecar's order of preference
-	zonal    bool      // the ready set is of the own zone
-	setSize  int       // how many of them make up the ready set
-	mostSet  int       // how many may, by the traffic
-	gap      float64   // smoothed: between requests
-	lastAsk  Time      // the latest request
-	requests map[RequestID]*request
+	cfg        Config
+	rng        *rand.Rand
+	classes    map[string]*class
+	servers    map[ServerID]*server
+	ready      []*server // ready servers in this sidecar's order of preference
+	meanWeight float64   // of them
+	zonal      bool      // the ready set is of the own zone
+	setSize    int       // how many of them make up the ready set
+	mostSet    int       // how many may, by the traffic
+	gap        float64   // smoothed: between requests
+	lastAsk    Time      // the latest request
+	requests   map[RequestID]*request
 
 	threshold float64       // shortest queue reported so far in the last probe round
 	newRound  bool          // no reply of that round has come
@@ -197,6 +198,10 @@
 			pool = append(pool, s)
 		}
 	}
+	b.meanWeight = 0
+	for _, s := range pool {
+		b.meanWeight += s.Weight / float64(len(pool))
+	}
 	byHash(pool, 0)
 	// Where leaving the zone costs more than the probes to find a server there, the set is of the own zone.
 	abroad := func(s *server) bool { return s.Zone != b.cfg.Zone }
@@ -524,6 +529,9 @@
 	return s
 }
 
+// coldMargin is how far above its share of the traffic may go what a cold server is sent within the window of the rule.
+const coldMargin = 1.25
+
 // refusedCold is the part of its turns that a cold server gets of the requests that warm ones are too slow for, where this
 // sidecar sends too little to go by. With all of it, an overload with clients' retries would push over what has just started.
 const refusedCold = 0.5
@@ -780,18 +788,29 @@
 	}
 }
 
-// warmth is the share of its capacity that s is held to have at now: the least that it can have, or, where servers stand twice
-// of that, what it comes to in half the time. That is less than twice the least, and mostly less than it has, as servers warm up
-// by work too. Guards against refusals beside new servers that idle, as when most of a fleet is replaced at once.
+// warmth is the share of its capacity that s is held to have at now: the least that it can have, or more by what it stands
+// beyond that, as servers warm up by work too. Guards against refusals beside new servers that idle, as when most of a fleet is
+// replaced at once. Where the list tells weights, one that is smaller than the mean has that much less of a share.
 func (b *Balancer) warmth(now Time, s *server) float64 {
-	ramp := b.cfg.Ramp
+	faster := 1.0
 	if b.cfg.TipMultiple >= 2 {
-		ramp /= 2
+		faster = min(b.cfg.TipMultiple/coldMargin, 2)
 	}
-	if s.Started == 0 || now-s.Started >= ramp {
+	age := faster * float64(max(0, now-s.Started))
+	if s.Started == 0 || age >= float64(b.cfg.Ramp) {
+		return 1
+	}
+	w := b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*age/float64(b.cfg.Ramp)
+	return w * b.smallness(s)
+}
+
+// smallness is how much less than the mean a server can do by the weights that the list tells, at most 1. Where it tells none
+// they are all alike.
+func (b *Balancer) smallness(s *server) float64 {
+	if !(s.Weight > 0 && s.Weight < b.meanWeight) {
 		return 1
 	}
-	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*float64(max(0, now-s.Started))/float64(ramp)
+	return s.Weight / b.meanWeight
 }
 
 // maySend is the one judge of whether the rules allow an attempt of r at s.
