--- a/internal/httpfront/drain.go
+++ b/internal/httpfront/drain.go
@@ -25,8 +25,8 @@
 func (s *Server) Drain(schedule shutdown.Schedule) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.course.Begin(schedule)
-	s.schedule = s.course.Schedule()
+	s.sequencer.Begin(schedule)
+	s.schedule = s.sequencer.Schedule()
 	s.sweep()
 }
 
@@ -116,7 +116,7 @@
 }
 
 // Exited is closed once the schedule's exit has come, or all connections were closed for good.
-func (s *Server) Exited() <-chan struct{} { return s.course.Exited() }
+func (s *Server) Exited() <-chan struct{} { return s.sequencer.Exited() }
 
 // Wait waits until Serve and all connections have ended. At the exit it closes those that are left, and reports false if
 // there were requests among them.
@@ -159,7 +159,7 @@
 func (s *Server) CloseAll() {
 	s.endAccepting()
 	s.answersDue()
-	s.course.Stop()
+	s.sequencer.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.over = true
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -94,12 +94,12 @@
 
 	mu       sync.Mutex
 	conns    map[*clientConn]struct{} // bounded by sockets
-	schedule shutdown.Schedule        // of the end, which course runs; zero: not ending. There is no way back: see Drain
+	schedule shutdown.Schedule        // of the end, which sequencer runs; zero: not ending. There is no way back: see Drain
 	away     bool                     // until Rejoin: see Evacuate
 	over     bool                     // all are closed for good
 	sweeping bool                     // quiet connections are being closed
 
-	course        *shutdown.Course
+	sequencer     *shutdown.Sequencer
 	unanswered    context.Context // ends once all that was read has to be answered
 	answersDue    context.CancelFunc
 	accepting     context.Context // ends once no connection is accepted any more
@@ -118,7 +118,7 @@
 
 func newServer(b *sockets.Budget, log *slog.Logger) *Server {
 	s := &Server{sockets: b, log: log, conns: map[*clientConn]struct{}{}, served: make(chan struct{})}
-	s.course = shutdown.NewCourse(s.stopForwarding, s.answerAll)
+	s.sequencer = shutdown.NewSequencer(s.stopForwarding, s.answerAll)
 	s.unanswered, s.answersDue = context.WithCancel(context.Background())
 	s.accepting, s.stopAccepting = context.WithCancel(context.Background())
 	return s
--- a/internal/shutdown/schedule.go
+++ b/internal/shutdown/schedule.go
@@ -1,6 +1,6 @@
 // Package shutdown owns the time of an orderly end of a process. A Schedule is computed once, from the moment of the
 // signal and from how long the process may live after it; every front of the process goes by that one Schedule, and
-// by no bound of its own. A Course runs a Schedule: it calls back at its points.
+// by no bound of its own. A Sequencer runs a Schedule: it calls back at its points.
 //
 // The package knows nothing of connections, requests or protocols.
 package shutdown
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -99,8 +99,8 @@
 	}
 }
 
-// course runs a course and tells what it calls, and when, in milliseconds after the beginning.
-func course(run func(c *Course)) (calls []string, at []int64) {
+// sequence runs a sequencer and tells what it calls, and when, in milliseconds after the beginning.
+func sequence(run func(c *Sequencer)) (calls []string, at []int64) {
 	begin := time.Now()
 	var mu sync.Mutex
 	note := func(what string) {
@@ -108,7 +108,7 @@
 		defer mu.Unlock()
 		calls, at = append(calls, what), append(at, time.Since(begin).Milliseconds())
 	}
-	c := NewCourse(func() { note("forward") }, func() { note("answer") })
+	c := NewSequencer(func() { note("forward") }, func() { note("answer") })
 	go func() {
 		<-c.Exited()
 		note("exit")
@@ -120,12 +120,12 @@
 	return calls, at
 }
 
-// TestCourse: the callbacks come at their points; a course that is brought forward goes by the earlier points, one that is
+// TestSequencer: the callbacks come at their points; a sequence that is brought forward goes by the earlier points, one that is
 // put off does not; one that is stopped calls nothing.
-func TestCourse(t *testing.T) {
+func TestSequencer(t *testing.T) {
 	want := []string{"forward", "forward", "answer", "forward", "answer", "exit"}
 	synctest.Test(t, func(t *testing.T) {
-		calls, at := course(func(c *Course) {
+		calls, at := sequence(func(c *Sequencer) {
 			c.Begin(Within(time.Now(), time.Second))
 			time.Sleep(2 * time.Second)
 		})
@@ -135,7 +135,7 @@
 	})
 	for _, second := range []time.Duration{500 * time.Millisecond, 5 * time.Second} {
 		synctest.Test(t, func(t *testing.T) {
-			calls, at := course(func(c *Course) {
+			calls, at := sequence(func(c *Sequencer) {
 				now := time.Now()
 				c.Begin(Within(now, time.Second))
 				time.Sleep(100 * time.Millisecond)
@@ -149,7 +149,7 @@
 		})
 	}
 	synctest.Test(t, func(t *testing.T) {
-		calls, _ := course(func(c *Course) {
+		calls, _ := sequence(func(c *Sequencer) {
 			c.Begin(Within(time.Now(), time.Second))
 			c.Stop()
 			c.Begin(Within(time.Now(), time.Second))
@@ -161,10 +161,10 @@
 	})
 }
 
-// TestCourseHeldUp: a process that is held up over all points calls in order all the same.
-func TestCourseHeldUp(t *testing.T) {
+// TestSequencerHeldUp: a process that is held up over all points calls in order all the same.
+func TestSequencerHeldUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		calls, _ := course(func(c *Course) {
+		calls, _ := sequence(func(c *Sequencer) {
 			c.Begin(Within(time.Now().Add(-time.Minute), time.Second))
 			time.Sleep(time.Second)
 		})
