Have the test of a full client use a server whose probes are answered

Cause: TestShutdownBesideAFullClient passed without what it guards. Its server answered probes with 32 MiB as well, so that the request was refused and there was no full client at all.

Change: probes are answered, the answer has to begin with 200, and the process may end neither before the exit nor late after it.

--- a/internal/daemon/shutdown_test.go
+++ b/internal/daemon/shutdown_test.go
@@ -55,14 +55,19 @@
 			if id := q.Header.Get("X-Request-ID"); id != "" {
 				h.arrived <- id
 			} else {
-				const report = "TEXT eps=0, queue=0"
-				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+				sayLoad(c)
 			}
 		}
 	})
 	return h
 }
 
+// sayLoad answers a probe.
+func sayLoad(c net.Conn) {
+	const report = "TEXT eps=0, queue=0"
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+}
+
 // ids returns the ids that have come so far.
 func (h *hangingServer) ids() map[string]bool {
 	ids := map[string]bool{}
@@ -155,19 +160,30 @@
 // TestShutdownBesideAFullClient: a client that takes nothing of its answer keeps neither the others from theirs nor the process from
 // its end.
 func TestShutdownBesideAFullClient(t *testing.T) {
-	long := peer(t, say("HTTP/1.1 200 OK\nContent-Length: 33554432\n\n"+strings.Repeat("x", 32<<20)))
+	long := peer(t, answering(func(q *http.Request, c net.Conn) {
+		if q.URL.Path == "/load" {
+			sayLoad(c)
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 32<<20, strings.Repeat("x", 32<<20))
+	}))
 	w := start(t, nil, long, "127.0.0.1:1", withDeadline(shortDeadline))
 	full := w.connect(t)
+	if err := full.Conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
 	full.write(plainGet)
-	eventually(t, "its answer has begun", func() bool { _, err := full.r.Peek(1); return err == nil })
+	if status, err := full.r.ReadString('\n'); err != nil || !strings.Contains(status, " 200 ") {
+		t.Fatalf("its answer begins with %q, %v", status, err)
+	}
 	w.term()
 	s := w.schedule(t)
 	if resp, _ := w.ask(t, "GET /healthz HTTP/1.1\nHost: s\n\n"); resp.StatusCode != http.StatusOK {
 		t.Errorf("answer %d", resp.StatusCode)
 	}
 	next(t, "end", w.over)
-	if late := time.Since(s.Exit); late > busyMachine {
-		t.Errorf("it ended %v after the exit", late)
+	if late := time.Since(s.Exit); late < 0 || late > busyMachine {
+		t.Errorf("it ended %v after the exit, which alone ends the connection of the full client", late)
 	}
 }
 
