--- a/internal/httpfront/drain_test.go
+++ b/internal/httpfront/drain_test.go
@@ -33,10 +33,14 @@
 	now := time.Now()
 	s.Drain(shutdown.Schedule{Accept: now, Forward: now, Answer: now, Exit: now.Add(patience)})
 	<-s.unanswered.Done()
+	wrote := time.Now()
 	io.WriteString(c, "G")
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
-		t.Errorf("answer %+v, %v; want a refusal at once", resp, err)
+		t.Errorf("answer %+v, %v; want a refusal", resp, err)
+	}
+	if took := time.Since(wrote); took > headTime/2 {
+		t.Errorf("it took %v: the rest of the request was waited for", took)
 	}
 	s.CloseAll()
 	near, far := net.Pipe()
