Shut down with short descriptors behind hanging servers, and with a last byte at 2.9 s

TestShutdownWithFewDescriptors passed without the mend, as its requests expired by themselves; and no trial made sure of a last byte 2.9 s after SIGTERM.

Change: deadlines of 8 s there, so that descriptors come free only when requests are given up; each trial with a body whose process may live that long has one whose last byte comes at 2.9 s, and fails if it has no answer.

--- a/cmd/quillfront/shutdown_test.go
+++ b/cmd/quillfront/shutdown_test.go
@@ -84,6 +84,9 @@
 	requests []shutdownRequest
 }
 
+// lastOfABody is when the last byte of a body comes, after SIGTERM, where the process may live that long.
+const lastOfABody = 2900 * time.Millisecond
+
 // mostTries bounds how often a trial is played while the machine holds processes up for longer than the terms have it.
 const mostTries = 4
 
@@ -214,6 +217,10 @@
 func (c *shutdownClients) judge(fleet *standin.Fleet, exit error) (breaches []string) {
 	c.t.Helper()
 	counts := map[int]int{}
+	sentLast := func(r shutdownRequest) bool { return r.kind == halfway && r.sent >= lastOfABody && r.answered }
+	if c.kill.Sub(c.term) > lastOfABody && c.effect != "read_like" && !slices.ContainsFunc(c.requests, sentLast) {
+		breaches = append(breaches, fmt.Sprintf("no request whose last byte came %v after SIGTERM has an answer", lastOfABody))
+	}
 	for _, r := range c.requests {
 		forwarded := len(fleet.Route(r.id)) > 0
 		switch {
@@ -264,6 +271,9 @@
 	for range 5 {
 		c.resting(anyTime())
 	}
+	if length > lastOfABody && c.effect != "read_like" { // a head may take no longer than 2.5 s, a body 2 s more
+		c.once(halfway, c.term.Add(connectWindow), c.term.Add(time.Second), c.term.Add(lastOfABody))
+	}
 }
 
 // eager adds a client that sends at once after each answer, on its connection or, as long as new ones come, on a new one.
--- a/internal/daemon/shutdown_test.go
+++ b/internal/daemon/shutdown_test.go
@@ -24,6 +24,8 @@
 const (
 	// shortDeadline is that of all classes where a test waits for the whole of a shutdown.
 	shortDeadline = 400 * time.Millisecond
+	// longDeadline is one that ends long after the earliest kill.
+	longDeadline = 8 * time.Second
 	// busyMachine is what a machine with much else to do may take beyond a point of the schedule before a test fails.
 	busyMachine = 2 * time.Second
 )
@@ -216,11 +218,11 @@
 // requests are answered though the server never answers any.
 func TestShutdownWithFewDescriptors(t *testing.T) {
 	h := newHangingServer(t)
-	w := start(t, nil, h.addr, "127.0.0.1:1", withDeadline(shortDeadline), func(c *config.Config) { c.Sockets = config.LeastSockets })
+	w := start(t, nil, h.addr, "127.0.0.1:1", withDeadline(longDeadline), func(c *config.Config) { c.Sockets = config.LeastSockets })
 	var clients []*client
 	for range 2 * w.clientPlaces() {
 		c := w.connect(t)
-		c.write(strings.Replace(plainGet, "9000", "400", 1))
+		c.write(strings.Replace(plainGet, "9000", "8000", 1))
 		clients = append(clients, c)
 	}
 	w.term()
