Add a review case: a stored function with a keyword's name places an order twice

Need: statements that may have run must not be sent again. Change: review/2, with a small stand-in for a MySQL server and its client.

--- /dev/null
+++ b/review/2/main.go
@@ -0,0 +1,85 @@
+//go:build review
+
+// Case 2: a statement that places an order through a stored function is sent again after its connection died.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"regexp"
+	"sync"
+	"time"
+
+	"quillfront/internal/mysql/wire"
+	"quillfront/review/lib"
+)
+
+const orders = 20
+
+// placeRE is the statement by which the application places an order: the stored function `order` of the schema water.
+var placeRE = regexp.MustCompile(`(?i)^select water\.order\('([A-Z0-9-]+)', (\d+)\)$`)
+
+func main() {
+	c := lib.Start()
+	var mu sync.Mutex
+	placed := map[string]int{}    // executions by order, over all servers: they share the data
+	killed := map[string]string{} // orders whose connection died, by the server
+	run := func(s *lib.Session, sql string) lib.Reply {
+		m := placeRE.FindStringSubmatch(sql)
+		if m == nil {
+			return lib.Reply{Err: &wire.Error{Code: 1064, State: "42000", Message: "You have an error in your SQL syntax"}}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		placed[m[1]]++
+		c.Log("%s runs %s, connection %d: order %s is placed, time %d", s.Server.Name, sql, s.ID, m[1], placed[m[1]])
+		if _, had := killed[m[1]]; lib.Trouble() && !had {
+			killed[m[1]] = s.Server.Name
+			c.Log("%s: connection %d dies before the reply", s.Server.Name, s.ID)
+			return lib.Reply{Die: true}
+		}
+		return lib.Reply{Column: "placed", Value: "1"}
+	}
+	l1, l2 := c.NewMySQL("l1", run), c.NewMySQL("l2", run)
+	listen := c.FreeAddr()
+	operator := c.Write("operator.toml", c.SQLOperatorFile(listen, lib.SQLServer{MySQL: l1}, lib.SQLServer{MySQL: l2}))
+	p := c.Run("n0", c.RunLine()+" serve --config "+operator, "GW_CONFIG=")
+	k := c.AwaitSQL(listen, p)
+	answered := 0
+	for i := range orders {
+		id := fmt.Sprintf("A7-%d", i)
+		sql := fmt.Sprintf("/* class=delivery-order key=%s */ SELECT water.order('%s', 3)", id, id)
+		c.Log("client sends %s", sql)
+		value, _, err := k.Query(sql)
+		var e *wire.Error
+		switch {
+		case err == nil:
+			answered++
+			c.Log("client gets %s", value)
+		case errors.As(err, &e):
+			c.Log("client gets the error %v", e)
+		default:
+			c.Log("client: %v", err)
+			k = c.AwaitSQL(listen, p)
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+	mu.Lock()
+	for i := range orders {
+		id := fmt.Sprintf("A7-%d", i)
+		if placed[id] > 1 {
+			c.Broken("order %s was placed %d times; the client sent its statement once", id, placed[id])
+		}
+	}
+	ran := len(placed)
+	mu.Unlock()
+	if ended := p.Ended(); ended != "" {
+		c.Unable("the proxy has ended: %s", ended)
+	}
+	c.Log("%d orders sent, %d placed, %d answered with a result", orders, ran, answered)
+	if ran == 0 {
+		c.Unable("no statement arrived")
+	}
+	c.End()
+}
