Extend the review case of stored functions to names in double quotes

Need: the fault shall be shown with calls that applications make. Change: review/2 places every second order by a function whose names stand in double quotes under ANSI_QUOTES.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -16,8 +16,12 @@
 
 const orders = 20
 
-// placeRE is the statement by which the application places an order: the stored function `order` of the schema water.
-var placeRE = regexp.MustCompile(`(?i)^select water\.order\('([A-Z0-9-]+)', (\d+)\)$`)
+// placeRE is the statement by which the applications place an order. One calls the stored function `order` of the schema
+// water, the other one the stored function place_order, with names in double quotes as ANSI_QUOTES has them.
+var (
+	placeRE = regexp.MustCompile(`(?i)^select (?:water\.order|"water"\."place_order")\('([A-Z0-9-]+)', (\d+)\)$`)
+	modeRE  = regexp.MustCompile(`(?i)^set session sql_mode ?= ?'ansi_quotes'$`)
+)
 
 func main() {
 	c := lib.Start()
@@ -25,6 +29,9 @@
 	placed := map[string]int{}    // executions by order, over all servers: they share the data
 	killed := map[string]string{} // orders whose connection died, by the server
 	run := func(s *lib.Session, sql string) lib.Reply {
+		if modeRE.MatchString(sql) {
+			return lib.Reply{}
+		}
 		m := placeRE.FindStringSubmatch(sql)
 		if m == nil {
 			return lib.Reply{Err: &wire.Error{Code: 1064, State: "42000", Message: "You have an error in your SQL syntax"}}
@@ -44,11 +51,24 @@
 	listen := c.FreeAddr()
 	operator := c.Write("operator.toml", c.SQLOperatorFile(listen, lib.SQLServer{MySQL: l1}, lib.SQLServer{MySQL: l2}))
 	p := c.Run("n0", c.RunLine()+" serve --config "+operator, "GW_CONFIG=")
-	k := c.AwaitSQL(listen, p)
+	login := func(quotes bool) *lib.SQLClient {
+		k := c.AwaitSQL(listen, p)
+		if quotes {
+			if _, _, err := k.Query("SET SESSION sql_mode = 'ANSI_QUOTES'"); err != nil {
+				c.Unable("sql_mode: %v", err)
+			}
+		}
+		return k
+	}
+	clients := []*lib.SQLClient{login(false), login(true)}
 	answered := 0
 	for i := range orders {
 		id := fmt.Sprintf("A7-%d", i)
-		sql := fmt.Sprintf("/* class=delivery-order key=%s */ SELECT water.order('%s', 3)", id, id)
+		call, k := "water.order", clients[i%2]
+		if i%2 == 1 {
+			call = `"water"."place_order"`
+		}
+		sql := fmt.Sprintf("/* class=delivery-order key=%s */ SELECT %s('%s', 3)", id, call, id)
 		c.Log("client sends %s", sql)
 		value, _, err := k.Query(sql)
 		var e *wire.Error
@@ -60,7 +80,7 @@
 			c.Log("client gets the error %v", e)
 		default:
 			c.Log("client: %v", err)
-			k = c.AwaitSQL(listen, p)
+			clients[i%2] = login(i%2 == 1)
 		}
 		time.Sleep(30 * time.Millisecond)
 	}
