--- a/review/lib/lib.go
+++ b/review/lib/lib.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -43,11 +44,12 @@
 	start  time.Time
 	broken []string
 	procs  []*Process
+	given  map[string]bool // addresses that FreeAddr has returned
 }
 
 // Start begins the record of a case. Its environment has CASE_ROOT, CASE_DIR and CASE_TMP.
 func Start() *Case {
-	c := &Case{Root: os.Getenv("CASE_ROOT"), Dir: os.Getenv("CASE_DIR"), Tmp: os.Getenv("CASE_TMP"), start: time.Now()}
+	c := &Case{Root: os.Getenv("CASE_ROOT"), Dir: os.Getenv("CASE_DIR"), Tmp: os.Getenv("CASE_TMP"), start: time.Now(), given: map[string]bool{}}
 	var err error
 	if c.out, err = os.Create(filepath.Join(c.Dir, "record.txt")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -204,12 +206,23 @@
 	c.Unable("%s does not get ready: %s %s", p.Name, p.Ended(), p.LogText())
 }
 
-// FreeAddr returns a loopback address that was free a moment ago.
+// FreeAddr returns a loopback address that was free a moment ago. Its port is below those that the system gives to
+// connections, so that no connection of the case takes it meanwhile.
 func (c *Case) FreeAddr() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Must(err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for range 1000 {
+		var b [2]byte
+		rand.Read(b[:])
+		addr := fmt.Sprintf("127.0.0.1:%d", 12000+int(binary.BigEndian.Uint16(b[:]))%18000)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			if !c.given[addr] {
+				c.given[addr] = true
+				return addr
+			}
+		}
+	}
+	c.Unable("no free port")
+	return ""
 }
 
 // Write writes a file into the temporary folder and returns its path.
