--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,6 +1,7 @@
 //go:build review
 
-// Case 1: a client's retry of an order joins the open one, and the answer is longer than 64 KiB.
+// Case 1: a client gives up a try of an order early and retries, while the sidecar still has the first try open, and the
+// answer is longer than 64 KiB. Other clients go on as usual beside it.
 package main
 
 import (
@@ -21,7 +22,8 @@
 const (
 	orders     = 24
 	answerSize = 4 << 20
-	retryAfter = 120 * time.Millisecond // a short fixed wait
+	giveUp     = 120 * time.Millisecond // how long the client waits for its first try
+	usual      = 4                      // other clients, each with one read after the other
 	work       = 400 * time.Millisecond // of an order, until its answer begins
 )
 
@@ -39,19 +41,25 @@
 
 func main() {
 	c := lib.Start()
-	var ran sync.Map
+	var ran, read sync.Map // the keys of orders and the ids of reads that have reached an upstream
 	var executions atomic.Int64
 	var hosts []lib.Host
 	for i := range 3 {
 		id := fmt.Sprintf("s-%d", i)
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		c.Must(err)
-		go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		srv := &http.Server{IdleTimeout: 5 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			if q.URL.Path == "/load" || q.URL.Path == "/healthz" {
 				io.WriteString(w, "TEXT eps=0, queue=0")
 				return
 			}
 			io.Copy(io.Discard, q.Body)
+			if q.Method == http.MethodGet {
+				read.Store(q.Header.Get("X-Request-ID"), true)
+				time.Sleep(20 * time.Millisecond)
+				fmt.Fprintf(w, "done %s", q.Header.Get("X-Request-ID"))
+				return
+			}
 			key := q.Header.Get("Idempotency-Key")
 			// All upstreams drop a repeat of a key: they answer it like the first one.
 			if _, again := ran.LoadOrStore(key, true); !again {
@@ -71,7 +79,8 @@
 				b = b[n:]
 				time.Sleep(time.Millisecond)
 			}
-		}))
+		})}
+		go srv.Serve(ln)
 		hosts = append(hosts, lib.Host{Host: id, Dial: ln.Addr().String(), Site: "clare-pump", Class: "big-box", Block: 0, Health: "active", Share: 1})
 	}
 	d := c.NewDiscovery(hosts)
@@ -84,29 +93,60 @@
 	p := c.Run("n0", c.RunLine()+" serve --config "+operator, "GW_CONFIG="+config)
 	c.AwaitHealthy(listen, p)
 	var wg sync.WaitGroup
-	whole, failed := atomic.Int64{}, atomic.Int64{}
-	send := func(key, what string) {
+	var whole, failed, reads atomic.Int64
+	stop := make(chan struct{})
+	for range usual {
+		wg.Go(func() {
+			k := &lib.Client{Addr: listen}
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				q := lib.Call{Method: "GET", Path: "/allocation-check/" + lib.NewID(), ID: lib.NewID(), Timeout: 1600 * time.Millisecond}
+				if p.Ended() != "" { // what nobody takes is not lost
+					return
+				}
+				status, body, err := k.Do(q, 4*time.Second)
+				switch {
+				case err != nil:
+					if _, taken := read.Load(q.ID); taken {
+						c.Broken("the read %s of another client was taken and sent on, and has no answer: %v", q.ID, err)
+					} else {
+						c.Log("read %s: %v", q.ID, err)
+					}
+				case status == 200 && string(body) != "done "+q.ID:
+					c.Broken("the read %s of another client is answered with %.80q", q.ID, body)
+				case status == 200:
+					reads.Add(1)
+				default:
+					c.Log("read %s: %d", q.ID, status)
+				}
+			}
+		})
+	}
+	// send sends a try of an order. Of a try that is given up the client heeds nothing more; its connection stays open.
+	send := func(key, what string, givenUp bool) {
 		defer wg.Done()
 		conn, err := lib.Dial(listen)
 		if err != nil {
 			c.Log("%s of %s: %v", what, key, err)
-			if p.Ended() != "" {
-				c.Broken("the sidecar has ended: %s", p.Ended())
-			}
 			return
 		}
 		defer conn.Close()
-		q := lib.Call{Method: "POST", Path: "/delivery-order/" + key[:8], ID: lib.NewID(), Key: key, Timeout: 2500 * time.Millisecond, Body: `{"outlet":"D7","ml":3}`}
+		q := lib.Call{Method: "POST", Path: "/delivery-order/" + key[:8], ID: lib.NewID(), Key: key, Timeout: 1300 * time.Millisecond, Body: `{"outlet":"D7","ml":3}`}
 		c.Log("%s of %s is sent as request %s", what, key, q.ID)
 		status, body, _, err := conn.Do(q, 20*time.Second)
 		switch want := answer(key); {
-		case err != nil:
-			// The client can tell that it is not whole: failed, unless nothing excuses it.
+		case givenUp:
+			c.Log("%s of %s, given up: status %d, %d bytes, %v", what, key, status, len(body), err)
+		case err != nil && status != 0: // the client can tell that it is not whole
+			failed.Add(1)
 			c.Log("%s of %s: status %d, %d bytes, then %v", what, key, status, len(body), err)
+		case err != nil:
 			failed.Add(1)
-			if status == 0 && p.Ended() == "" {
-				c.Broken("%s of %s was read, and its connection ended with no answer: %v", what, key, err)
-			}
+			c.Broken("%s of %s was taken, and its connection ended with no answer: %v", what, key, err)
 		case status == 200 && !bytes.Equal(body, want):
 			at := 0
 			for at < len(body) && at < len(want) && body[at] == want[at] {
@@ -124,26 +164,27 @@
 	for range orders {
 		key := lib.NewID() + lib.NewID()
 		wg.Add(1)
-		go send(key, "the first try")
+		go send(key, "the first try", lib.Trouble())
 		if lib.Trouble() {
-			time.Sleep(retryAfter)
+			time.Sleep(giveUp)
 			wg.Add(1)
-			go send(key, "the retry")
+			go send(key, "the retry", false)
 		}
 		time.Sleep(600 * time.Millisecond)
 		if p.Ended() != "" {
 			break
 		}
 	}
+	close(stop)
 	wg.Wait()
 	time.Sleep(200 * time.Millisecond)
 	if p.Ended() != "" {
 		c.Broken("the sidecar has crashed: %s", p.Ended())
 		c.Log("its log: %.4000s", p.LogText())
 	}
-	c.Log("%d orders executed, %d answers whole and as made, %d failed", executions.Load(), whole.Load(), failed.Load())
-	if whole.Load() == 0 && c.BrokenCount() == 0 {
-		c.Unable("no order was served")
+	c.Log("%d orders executed, %d answers whole and as made, %d failed; %d reads of other clients served", executions.Load(), whole.Load(), failed.Load(), reads.Load())
+	if (whole.Load() == 0 || reads.Load() == 0) && c.BrokenCount() == 0 {
+		c.Unable("nothing was served")
 	}
 	c.End()
 }
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -14,7 +14,10 @@
 	"quillfront/review/lib"
 )
 
-const orders = 20
+const (
+	orders = 60
+	share  = 6 // one connection in so many dies: fewer than the 18 % of bad servers of the brief
+)
 
 // placeRE is the statement by which the applications place an order. One calls the stored function `order` of the schema
 // water, the other one the stored function place_order, with names in double quotes as ANSI_QUOTES has them.
@@ -28,6 +31,7 @@
 	var mu sync.Mutex
 	placed := map[string]int{}    // executions by order, over all servers: they share the data
 	killed := map[string]string{} // orders whose connection died, by the server
+	sent := 0
 	run := func(s *lib.Session, sql string) lib.Reply {
 		if modeRE.MatchString(sql) {
 			return lib.Reply{}
@@ -40,7 +44,7 @@
 		defer mu.Unlock()
 		placed[m[1]]++
 		c.Log("%s runs %s, connection %d: order %s is placed, time %d", s.Server.Name, sql, s.ID, m[1], placed[m[1]])
-		if _, had := killed[m[1]]; lib.Trouble() && !had {
+		if _, had := killed[m[1]]; !had && sent%share == share-1 && lib.Trouble() {
 			killed[m[1]] = s.Server.Name
 			c.Log("%s: connection %d dies before the reply", s.Server.Name, s.ID)
 			return lib.Reply{Die: true}
@@ -69,6 +73,9 @@
 			call = `"water"."place_order"`
 		}
 		sql := fmt.Sprintf("/* class=delivery-order key=%s */ SELECT %s('%s', 3)", id, call, id)
+		mu.Lock()
+		sent = i / 2 // so that the connections of both applications die
+		mu.Unlock()
 		c.Log("client sends %s", sql)
 		value, _, err := k.Query(sql)
 		var e *wire.Error
@@ -97,7 +104,7 @@
 	if ended := p.Ended(); ended != "" {
 		c.Unable("the proxy has ended: %s", ended)
 	}
-	c.Log("%d orders sent, %d placed, %d answered with a result", orders, ran, answered)
+	c.Log("%d orders sent, %d placed, %d answered with a result, %d connections died", orders, ran, answered, len(killed))
 	if ran == 0 {
 		c.Unable("no statement arrived")
 	}
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -18,6 +18,8 @@
 	"quillfront/review/lib"
 )
 
+const pairs = 5 // of farms
+
 var (
 	orderRE = regexp.MustCompile(`(?i)^insert into orders \(farm, ml\) values \('([a-z0-9-]+)', (\d+)\)$`)
 	stockRE = regexp.MustCompile(`(?i)^update stock set ml = ml - (\d+) where channel = '([a-z]+)'$`)
@@ -70,17 +72,8 @@
 	path := c.Write("operator.toml", c.SQLOperatorFile(listen, lib.SQLServer{MySQL: l1}, lib.SQLServer{MySQL: l2, Drain: true}))
 	p := c.Run("n0", c.RunLine()+" serve --config "+path, "GW_CONFIG=")
 	c.AwaitSQL(listen, p).Close()
-	reloads := 0
-	// swap tells one of the servers to drain, and the other one to take requests again.
-	swap := func(drain1 bool) {
-		c.Write("operator.toml", c.SQLOperatorFile(listen, lib.SQLServer{MySQL: l1, Drain: drain1}, lib.SQLServer{MySQL: l2, Drain: !drain1}))
-		p.Signal(syscall.SIGHUP)
-		reloads++
-		c.AwaitLog(p, "msg=reloaded", reloads)
-		c.Log("l1 drains: %v, l2 drains: %v", drain1, !drain1)
-	}
-	query := func(k *lib.SQLClient, who, sql string) (uint64, error) {
-		_, id, err := k.Query(sql)
+	query := func(k *lib.SQLClient, who, sql string) (string, uint64, error) {
+		value, id, err := k.Query(sql)
 		var e *wire.Error
 		switch {
 		case errors.As(err, &e):
@@ -88,68 +81,83 @@
 		case err != nil:
 			c.Log("%s: %s: %v", who, sql, err)
 		default:
-			c.Log("%s: %s: ok, id %d", who, sql, id)
+			c.Log("%s: %s: ok, id %d, value %q", who, sql, id, value)
 		}
-		return id, err
+		return value, id, err
 	}
-	drained, done := false, 0
-	// moved has the server of a's session drain, and client b do the same as a meanwhile.
-	moved := func(b *lib.SQLClient, sql string) {
-		if lib.Trouble() {
-			drained = !drained
-			swap(drained)
-		}
-		query(b, "farm b", sql)
-		query(b, "farm b", "SELECT 1")
-		time.Sleep(60 * time.Millisecond) // b's connection is back in the pool; a's is still held, for 1 s
+	// Each farm has two sessions: one places its order by INSERT, the other one by a procedure.
+	type farm struct {
+		name           string
+		insert, call   *lib.SQLClient
+		byInsert, byID uint64
 	}
-	for i := range 10 {
-		a, b := c.AwaitSQL(listen, p), c.AwaitSQL(listen, p)
-		outlet := "outlet-" + strconv.Itoa(i)
-		own, err := query(a, "farm a", fmt.Sprintf("INSERT INTO orders (farm, ml) VALUES ('farm-a-%d', 3)", i))
-		if err != nil {
-			c.Unable("the first order was not placed: %v", err)
+	login := func(name string) *farm {
+		return &farm{name: name, insert: c.AwaitSQL(listen, p), call: c.AwaitSQL(listen, p)}
+	}
+	place := func(f *farm) {
+		_, id, err := query(f.insert, f.name, fmt.Sprintf("INSERT INTO orders (farm, ml) VALUES ('%s', 3)", f.name))
+		if err == nil {
+			_, _, err = query(f.call, f.name, fmt.Sprintf("CALL place_order('%s', 3, @id)", f.name))
 		}
-		moved(b, fmt.Sprintf("INSERT INTO orders (farm, ml) VALUES ('farm-b-%d', 7)", i))
-		query(a, "farm a", "UPDATE stock SET ml = ml - 3 WHERE channel = 'north'")
-		before := len(lines)
-		if _, err := query(a, "farm a", fmt.Sprintf("INSERT INTO order_lines (order_id, outlet) VALUES (LAST_INSERT_ID(), '%s')", outlet)); err == nil {
-			done++
+		if err != nil {
+			c.Unable("%s could not place its orders: %v", f.name, err)
 		}
 		mu.Lock()
-		for _, l := range lines[before:] {
-			if l.order != own {
-				owner := farms[l.order]
-				if owner == "" {
-					owner = "nobody"
-				}
-				c.Broken("the line %s of order %d (farm-a-%d) was written to order %d, of %s", l.outlet, own, i, l.order, owner)
-			}
-		}
+		f.byInsert, f.byID = id, next
 		mu.Unlock()
-		// The same farm places an order by a procedure, and reads its id from the OUT parameter.
-		if _, err := query(a, "farm a", fmt.Sprintf("CALL place_order('farm-a-%d', 3, @id)", i)); err != nil {
-			c.Unable("the procedure failed: %v", err)
+	}
+	time.Sleep(1500 * time.Millisecond) // no new configuration comes in a program's first second
+	var before, after []*farm
+	for i := range pairs {
+		before, after = append(before, login(fmt.Sprintf("farm-a-%d", i))), append(after, login(fmt.Sprintf("farm-b-%d", i)))
+	}
+	for _, f := range before {
+		place(f)
+	}
+	if lib.Trouble() {
+		c.Write("operator.toml", c.SQLOperatorFile(listen, lib.SQLServer{MySQL: l1, Drain: true}, lib.SQLServer{MySQL: l2}))
+		p.Signal(syscall.SIGHUP)
+		c.AwaitLog(p, "msg=reloaded", 1)
+		c.Log("l1 is told to drain, l2 is back")
+	}
+	for _, f := range after {
+		place(f)
+	}
+	for _, f := range after { // they go on with something else, and give their connections back
+		query(f.insert, f.name, "SELECT 1")
+		query(f.call, f.name, "SELECT 1")
+	}
+	time.Sleep(60 * time.Millisecond)
+	answered := 0
+	for i, f := range before { // within `hold` (1 s) of their orders
+		outlet := "outlet-" + strconv.Itoa(i)
+		query(f.insert, f.name, "UPDATE stock SET ml = ml - 3 WHERE channel = 'north'")
+		mu.Lock()
+		written := len(lines)
+		mu.Unlock()
+		if _, _, err := query(f.insert, f.name, fmt.Sprintf("INSERT INTO order_lines (order_id, outlet) VALUES (LAST_INSERT_ID(), '%s')", outlet)); err == nil {
+			answered++
 		}
 		mu.Lock()
-		own = next
+		for _, l := range lines[written:] {
+			if l.order != f.byInsert {
+				c.Broken("the line %s of %s, order %d, was written to order %d, that of %q", l.outlet, f.name, f.byInsert, l.order, farms[l.order])
+			}
+		}
 		mu.Unlock()
-		moved(b, fmt.Sprintf("CALL place_order('farm-b-%d', 7, @id)", i))
-		if value, _, err := a.Query("SELECT @id"); err != nil {
-			c.Log("farm a: SELECT @id: %v", err)
-		} else if done++; value != strconv.FormatUint(own, 10) {
-			c.Broken("farm-a-%d reads the id %s for its order %d; order %s is that of %q", i, value, own, value, farmOf(farms, value))
+		if value, _, err := query(f.call, f.name, "SELECT @id"); err == nil {
+			answered++
+			if id, _ := strconv.ParseUint(value, 10, 64); id != f.byID {
+				c.Broken("%s reads the id %s for its order %d; that is an order of %q", f.name, value, f.byID, farmOf(farms, value))
+			}
 		}
-		a.Close()
-		b.Close()
-		time.Sleep(150 * time.Millisecond)
 	}
 	if ended := p.Ended(); ended != "" {
 		c.Unable("the proxy has ended: %s", ended)
 	}
-	c.Log("%d of 20 steps answered", done)
-	if done == 0 && !lib.Trouble() {
-		c.Unable("nothing was answered")
+	c.Log("%d of %d steps answered without an error", answered, 2*pairs)
+	if answered < 2*pairs && !lib.Trouble() {
+		c.Unable("only %d of %d steps were answered without a disruption", answered, 2*pairs)
 	}
 	c.End()
 }
