--- a/review/1/main.go
+++ b/review/1/main.go
@@ -21,8 +21,8 @@
 
 const (
 	orders     = 24
-	answerSize = 4 << 20
-	giveUp     = 120 * time.Millisecond // how long the client waits for its first try
+	answerSize = 1 << 20
+	giveUp     = 300 * time.Millisecond // how long the client waits for its first try: half of the time that its class is wanted in
 	usual      = 4                      // other clients, each with one read after the other
 	work       = 400 * time.Millisecond // of an order, until its answer begins
 )
