Keep sql_mode for each connection in the MySQL stand-in of review case 2

Need: the stand-in took names in double quotes on any connection; a MySQL server does so only where the connection has said ANSI_QUOTES, so that a repeat on another connection might have been a syntax error there.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 // water, the other one the stored function place_order, with names in double quotes as ANSI_QUOTES has them.
 var (
 	placeRE = regexp.MustCompile(`(?i)^select (?:water\.order|"water"\."place_order")\('([A-Z0-9-]+)', (\d+)\)$`)
-	modeRE  = regexp.MustCompile(`(?i)^set session sql_mode ?= ?'ansi_quotes'$`)
+	modeRE  = regexp.MustCompile(`(?i)^set session sql_mode ?= ?'(ansi_quotes)'$`)
 )
 
 func main() {
@@ -33,11 +34,15 @@
 	killed := map[string]string{} // orders whose connection died, by the server
 	sent := 0
 	run := func(s *lib.Session, sql string) lib.Reply {
-		if modeRE.MatchString(sql) {
+		if m := modeRE.FindStringSubmatch(sql); m != nil {
+			s.Mode = strings.ToUpper(m[1])
+			c.Log("%s, connection %d: sql_mode is %s", s.Server.Name, s.ID, s.Mode)
 			return lib.Reply{}
 		}
 		m := placeRE.FindStringSubmatch(sql)
-		if m == nil {
+		// Without ANSI_QUOTES what stands in double quotes is a string, and no function has such a name.
+		if m == nil || strings.Contains(sql, `"`) && s.Mode != "ANSI_QUOTES" {
+			c.Log("%s, connection %d, sql_mode %q: syntax error: %s", s.Server.Name, s.ID, s.Mode, sql)
 			return lib.Reply{Err: &wire.Error{Code: 1064, State: "42000", Message: "You have an error in your SQL syntax"}}
 		}
 		mu.Lock()
--- a/review/lib/mysql.go
+++ b/review/lib/mysql.go
@@ -34,6 +34,7 @@
 	ID       uint32
 	InsertID uint64            // LAST_INSERT_ID()
 	Vars     map[string]string // user variables
+	Mode     string            // sql_mode
 	Schema   string
 }
 
@@ -118,7 +119,7 @@
 			s.Schema = string(b[1:])
 			err = ok(wire.OK{})
 		case wire.ResetConnection:
-			s.InsertID, s.Vars = 0, map[string]string{}
+			s.InsertID, s.Vars, s.Mode = 0, map[string]string{}, ""
 			err = ok(wire.OK{})
 		case wire.Query:
 			sql := StripComments(string(b[1:]))
