--- a/review/5/main.go
+++ b/review/5/main.go
@@ -20,18 +20,19 @@
 	sidecars  = 24
 	upstreams = 8
 	quiet     = 6 * time.Second
-	outage    = 28 * time.Second // of discovery
+	outage    = 8 * time.Second // of discovery
+	drainsAt  = time.Second     // after its return: "within seconds of its return"
 	// toldAfter: a change counts as told at the latest 6 s after discovery had it and could be reached. grace: 2 s by the
 	// settings, 50 ms for sockets, and 150 ms in which a sidecar may be held up.
 	toldAfter = 6 * time.Second
 	grace     = 2*time.Second + 50*time.Millisecond + 150*time.Millisecond
-	after     = 20 * time.Second // what is watched after the return of discovery
+	after     = 20 * time.Second // what is watched after the drain
 )
 
 func main() {
 	c := lib.Start()
 	var mu sync.Mutex
-	var backAt time.Time // discovery can be reached again, and has the drain
+	var drainAt time.Time // discovery can be reached, and has the drain from here on
 	late := map[string]int{}
 	lastLate := map[string]time.Duration{}
 	var served, failed, ran atomic.Int64
@@ -50,9 +51,9 @@
 			now := time.Now()
 			ran.Add(1)
 			mu.Lock()
-			if drains && !backAt.IsZero() {
+			if drains && !drainAt.IsZero() {
 				sidecar, _, _ := strings.Cut(q.Header.Get("X-Request-ID"), "-")
-				since := now.Sub(backAt)
+				since := now.Sub(drainAt)
 				c.Log("%s (leaving) gets request %s, %.3f s after discovery had its drain and could be reached", id, q.Header.Get("X-Request-ID"), since.Seconds())
 				if since > toldAfter+grace {
 					late[sidecar]++
@@ -110,22 +111,18 @@
 		c.Log("discovery goes down")
 		d.SetDown(true)
 		time.Sleep(outage)
-		mu.Lock()
-		d.SetHealth("s-0", "leaving")
-		d.SetHealth("s-1", "leaving")
 		d.SetDown(false)
-		backAt = time.Now()
-		mu.Unlock()
-		c.Log("discovery is back; s-0 and s-1 are leaving")
+		c.Log("discovery is back")
 	} else {
-		time.Sleep(outage / 4)
-		mu.Lock()
-		d.SetHealth("s-0", "leaving")
-		d.SetHealth("s-1", "leaving")
-		backAt = time.Now()
-		mu.Unlock()
-		c.Log("s-0 and s-1 are leaving")
+		time.Sleep(outage)
 	}
+	time.Sleep(drainsAt)
+	mu.Lock()
+	d.SetHealth("s-0", "leaving")
+	d.SetHealth("s-1", "leaving")
+	drainAt = time.Now()
+	mu.Unlock()
+	c.Log("s-0 and s-1 are leaving")
 	time.Sleep(after)
 	close(stop)
 	wg.Wait()
