Log and count why an attempt or a request ends without an answer

Each attempt without a whole answer and each request that is refused or fails has a line with request id, attempt, server, result, typed reason, bytes that came, whether the client got the start, the limit that ran out and the time that was left; two lines a second in the long run, 40 at once, the next line tells how many were dropped. svc_attempts_without_answer_total counts them by class and reason. The line on an interrupted streamed answer has the id.

TestExchangeLogNamesTheCause and TestExchangeLogIsBounded pass with -race; internal/daemon passes.

--- a/internal/engine/counts.go
+++ b/internal/engine/counts.go
@@ -14,6 +14,7 @@
 	Results   [Dropped + 1]uint64         // by ResultKind
 	Withdrawn uint64                      // the client disconnected
 	Attempts  [policy.Rejected + 1]uint64 // ended attempts by status
+	Reasons   [policy.Reasons]uint64      // ended attempts by the reason for which they brought no answer
 }
 
 // countsOf returns the counts of r's class. Every class that ever was in the configuration has its
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -90,6 +90,7 @@
 	PayloadConsumed bool // the payload cannot be sent again
 	// AvoidFor is how long the server asks to get no new requests; 0 if it did not ask.
 	AvoidFor time.Duration
+	End      AttemptEnd // how an attempt without a whole answer ended
 }
 
 // Options configures an Engine.
@@ -134,6 +135,7 @@
 	listReceived     bool                            // the source has sent a list
 	futureStarts     map[policy.ServerID]futureStart // listed servers whose start lay in the future
 	entryErrors      entryErrorLog
+	exchanges        exchangeLog
 	absences         exclusion.State   // servers that operators have removed from the list
 	avoided          exclusion.Avoided // servers that get no new requests for a limited time
 	avoidTimer       *time.Timer       // ends the next avoidance; nil before the first one
@@ -165,7 +167,7 @@
 		openByExternalID: map[string]*Request{}, endpoints: map[policy.ServerID]Endpoint{}, source: o.Source, seq: UnknownSeq,
 		drained: make(chan struct{}), listed: map[policy.ServerID]Server{}, counts: map[string]*Counts{},
 		sites: sitewatch.New(o.Module, o.Log), config: o.Config, baseConfig: o.Config, futureStarts: map[policy.ServerID]futureStart{},
-		entryErrors: entryErrorLog{limit: rate.Sometimes{First: 1, Interval: entryErrorLogInterval}},
+		entryErrors: entryErrorLog{limit: rate.Sometimes{First: 1, Interval: entryErrorLogInterval}}, exchanges: newExchangeLog(o.Log),
 	}
 	e.classes.Store(newClassSet(o.Config))
 	e.wakeTimer = time.AfterFunc(clockOffset, e.fireTimers)
@@ -369,6 +371,7 @@
 // result may repeat the request at once, and must not find it open.
 func (e *Engine) deliver(r *Request, result Result) {
 	e.countsOf(r).Results[result.Kind]++
+	e.exchanges.requestEnded(e.Now(), r, result)
 	if r.OnEnd != nil {
 		r.OnEnd(result, false)
 	}
@@ -424,7 +427,13 @@
 	r.outstanding--
 	r.lastStatus = result.Status
 	r.mayHaveRun = r.mayHaveRun || !result.Status.NotRun()
-	e.countsOf(r).Attempts[result.Status]++
+	if result.End.Reason == policy.ReasonNone {
+		result.End.Reason = policy.DefaultReason(result.Status)
+	}
+	counts := e.countsOf(r)
+	counts.Attempts[result.Status]++
+	counts.Reasons[result.End.Reason]++
+	e.exchanges.attemptEnded(now, a, result)
 	e.sites.RecordOutcome(now, a.Server, result.Status)
 	if result.AvoidFor > 0 {
 		e.avoid(now, a.Server, result.AvoidFor)
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -955,7 +955,7 @@
 		}
 	}
 	if err != io.EOF {
-		s.log.Warn("streamed response interrupted", "by", by, "err", err, "sent", sent, "of", a.Length, "after", time.Since(start).Round(time.Millisecond))
+		s.log.Warn("streamed response interrupted", "request", s.currentID(c), "by", by, "err", err, "sent", sent, "of", a.Length, "after", time.Since(start).Round(time.Millisecond))
 	}
 	if err == io.EOF && chunked {
 		if err = writePart(lastChunk(a), nil); err == nil {
@@ -968,6 +968,16 @@
 	return err == io.EOF
 }
 
+// currentID returns the client's ID of the request that c is serving; empty: it has none.
+func (s *Server) currentID(c *clientConn) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.current.request == nil {
+		return ""
+	}
+	return c.current.request.ExternalID
+}
+
 // setCloseDelimited records whether c has an unfinished response that ends with the close of the
 // connection.
 func (s *Server) setCloseDelimited(c *clientConn, is bool) {
--- a/internal/httpmsg/body.go
+++ b/internal/httpmsg/body.go
@@ -62,6 +62,9 @@
 	return b.err
 }
 
+// Size returns how many bytes of the body have been read.
+func (b *Body) Size() int64 { return b.size }
+
 // Trailer returns the lines of the trailer section that may be forwarded (RFC 9110, section 6.5.1),
 // once the body has been read to its end.
 func (b *Body) Trailer() []byte { return b.trailer }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -52,6 +52,7 @@
 	errorsTotal         = desc("errors_total", "Requests that failed: nothing is promised.", "kind")
 	withdrawnTotal      = desc("withdrawn_total", "Requests whose clients left.", "kind")
 	triesTotal          = desc("tries_total", "Attempts that have ended.", "kind", "result")
+	attemptReasons      = desc("attempts_without_answer_total", "Attempts that brought no whole answer, by reason.", "kind", "reason")
 	activeRequests      = desc("active", "Requests without an answer.")
 	heldRequests        = desc("held", "Requests that wait for a report.")
 	poolSize            = desc("pool_size", "Servers that are listed.")
@@ -109,19 +110,13 @@
 )
 
 var allDescs = []*prometheus.Desc{
-	okTotal, shedTotal, errorsTotal, withdrawnTotal, triesTotal, activeRequests, heldRequests, poolSize, poolEjected, poolExcluded, poolDraining, readySet,
+	okTotal, shedTotal, errorsTotal, withdrawnTotal, triesTotal, attemptReasons, activeRequests, heldRequests, poolSize, poolEjected, poolExcluded, poolDraining, readySet,
 	threshold, serverOutstanding, serverQueue, serverDelay, serverWarmth, serverEjectedFor, serverFailures, siteShare, siteState, siteFailureRatio, siteSpilled, siteTurnedAway, evacuated, configsApplied, configsRejected, descriptors, descriptorLimits, ordersTotal, ordersFailing,
 	serviceConnections, serviceRejected, serviceRequests, serviceOutstanding, streamsOpen, streamsEnded, streamBytes, mysqlBound, mysqlStatements, mysqlSessionsMoved, mysqlServerConns,
 	mysqlIdleConns, routeRequests, routePinnedKeys, routeEarlyEvictions, poolDescriptors, poolBodyBytes, poolDescriptorWaits, poolsEnded, poolsEndedRequests,
 	membersKnown, membersLiving, membersGroup, membersHealth, membersIsolated, membersEvents, membersBytes, membersDropped,
 }
 
-// resultNames maps statuses of attempts to values of the label result.
-var resultNames = [...]string{
-	policy.OK: "ok", policy.AppError: "error", policy.Overloaded: "turned_away", policy.Timeout: "timeout", policy.ConnectFailed: "connect",
-	policy.Reset: "reset", policy.Canceled: "canceled", policy.NotSent: "unsent", policy.Rejected: "rejected",
-}
-
 // collector is a prometheus.Collector that reads a Source.
 type collector struct{ Source }
 
@@ -147,7 +142,12 @@
 		total(errorsTotal, n.Results[engine.Failed]+n.Results[engine.Dropped], class)
 		total(withdrawnTotal, n.Withdrawn, class)
 		for status, v := range n.Attempts {
-			total(triesTotal, v, class, resultNames[status])
+			total(triesTotal, v, class, engine.StatusName(policy.Status(status)))
+		}
+		for reason, v := range n.Reasons {
+			if reason != int(policy.ReasonNone) {
+				total(attemptReasons, v, class, policy.Reason(reason).String())
+			}
 		}
 	}
 	s := c.State()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -99,6 +99,7 @@
 	exchangeDeadline time.Time // deadline of the current exchange
 	responseBegun    bool      // the first byte of the current response has arrived
 	stallTimeout     time.Duration
+	lastRead         time.Time    // when the last bytes arrived
 	bytesWritten     atomic.Int64 // bytes of the current exchange that the kernel has accepted
 }
 
@@ -122,7 +123,11 @@
 	if c.responseBegun {
 		c.SetReadDeadline(earlier(c.exchangeDeadline, time.Now().Add(c.stallTimeout)))
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.lastRead = time.Now()
+	}
+	return n, err
 }
 
 // maxUnsent is how much of a request a connection may have written so that no part of it waits in
@@ -193,6 +198,7 @@
 func (c *conn) resetExchange(t time.Time) {
 	c.responseBegun, c.stallTimeout = false, responseStallTimeout
 	c.bytesWritten.Store(0)
+	c.body = httpmsg.Body{}
 	c.setExchangeDeadline(t)
 }
 
--- a/internal/upstream/routed.go
+++ b/internal/upstream/routed.go
@@ -348,6 +348,5 @@
 	case errors.Is(err, os.ErrDeadlineExceeded) && !deadline.IsZero() && !time.Now().Before(deadline) && x.wasSent():
 		status = policy.Timeout
 	}
-	t.log.Debug("attempt", "request", a.ExternalID(), "upstream", a.Server, "status", status, "err", err)
-	return engine.AttemptResult{Status: status}
+	return engine.AttemptResult{Status: status, End: describeEnd(a, x.conn, deadline, err)}
 }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -130,7 +130,7 @@
 	if c == nil {
 		var err error
 		if c, err = t.dial(a, to); err != nil {
-			return t.failure(a, errNotWritten{err})
+			return t.failure(a, nil, errNotWritten{err})
 		}
 	}
 	if !a.Sending(c.abort) {
@@ -147,7 +147,7 @@
 	})
 	if err != nil {
 		c.Close()
-		return t.failure(a, err)
+		return t.failure(a, c, err)
 	}
 	result := engine.AttemptResult{Status: policy.OK}
 	var answer *httpmsg.Response
@@ -191,7 +191,7 @@
 	}
 	if answer != nil {
 		if err != nil {
-			return t.failure(a, err)
+			return t.failure(a, c, err)
 		}
 		answer.Body = body
 		result.Reply = answer
@@ -228,7 +228,9 @@
 	if rest.err == io.EOF || rest.err == nil {
 		return result
 	}
-	return t.failure(a, rest.err)
+	failed := t.failure(a, c, rest.err)
+	failed.End.PassedOn = true
+	return failed
 }
 
 // bodyConsumed reports whether the payload of a cannot be sent again.
@@ -248,8 +250,9 @@
 	return t.pool.dial(ctx, to, a.Deadline, func() { a.SetStage(engine.StageConnect) })
 }
 
-// failure returns the result of an attempt without a complete response.
-func (t *Transport) failure(a *engine.Attempt, err error) engine.AttemptResult {
+// failure returns the result of an attempt without a complete response. c is nil if there was no
+// connection.
+func (t *Transport) failure(a *engine.Attempt, c *conn, err error) engine.AttemptResult {
 	status := policy.Reset
 	var notWritten errNotWritten
 	var bodyErr errBodySource
@@ -265,8 +268,7 @@
 		// Otherwise the response has stalled.
 		status = policy.Timeout
 	}
-	t.log.Debug("attempt", "request", a.ExternalID(), "upstream", a.Server, "status", status, "err", err)
-	return engine.AttemptResult{Status: status, PayloadConsumed: bodyConsumed(a)}
+	return engine.AttemptResult{Status: status, PayloadConsumed: bodyConsumed(a), End: describeEnd(a, c, a.Deadline, err)}
 }
 
 // Probe implements engine.Transport. It takes up to 400 ms.
