--- a/internal/fronttest/harness_test.go
+++ b/internal/fronttest/harness_test.go
@@ -82,8 +82,9 @@
 	kind string
 	addr string
 	cmd  *exec.Cmd
-	log  strings.Builder
-	done chan struct{} // closed when the process has ended
+	mu   sync.Mutex
+	log  strings.Builder // guarded by mu
+	done chan struct{}   // closed when the process has ended
 }
 
 // startFront starts a process that serves the classes read, order and pay until the test ends. It
@@ -143,16 +144,25 @@
 		if strings.Contains(lines.Text(), "msg=ready") {
 			ready <- addr
 		}
+		f.mu.Lock()
 		f.log.WriteString(lines.Text() + "\n")
+		f.mu.Unlock()
 	}
 	f.cmd.Wait()
 }
 
+// logText returns what the process has logged so far.
+func (f *front) logText() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.log.String()
+}
+
 // stop kills the process and fails the test if it had ended before.
 func (f *front) stop() {
 	select {
 	case <-f.done:
-		f.t.Errorf("the process has ended: %v\n%s", f.cmd.ProcessState, f.log.String())
+		f.t.Errorf("the process has ended: %v\n%s", f.cmd.ProcessState, f.logText())
 	default:
 		f.cmd.Process.Kill()
 		<-f.done
