Pass on what has arrived of a chunk, without waiting for more of it

Cause: the standard library's chunk reader, which fills the whole buffer of a Read from one chunk, however long that takes.

The body has a chunk reader of its own that returns what has arrived. It accepts the same bodies with the same data: FuzzChunks compares both.

--- a/internal/httpmsg/body.go
+++ b/internal/httpmsg/body.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http/httputil"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -28,12 +27,12 @@
 // read before Reset.
 type Body struct {
 	r           *bufio.Reader
-	chunkReader io.Reader // nil: the body is not chunked
-	remaining   int64     // if not chunked: bytes to come; negative: the body ends with the connection
-	size        int64     // bytes read so far
-	limit       int64     // the maximum of size
-	trailer     []byte    // the lines of the trailer section that may be forwarded
-	err         error     // io.EOF or the error that ended the body
+	chunkReader *chunkReader // nil: the body is not chunked
+	remaining   int64        // if not chunked: bytes to come; negative: the body ends with the connection
+	size        int64        // bytes read so far
+	limit       int64        // the maximum of size
+	trailer     []byte       // the lines of the trailer section that may be forwarded
+	err         error        // io.EOF or the error that ended the body
 }
 
 // Reset makes b read the body of a message with that length, or up to the end of the connection if
@@ -46,7 +45,7 @@
 func (b *Body) ResetWithLimit(r *bufio.Reader, length int64, chunked bool, limit int64) {
 	*b = Body{r: r, remaining: length, limit: limit}
 	if chunked {
-		b.chunkReader = httputil.NewChunkedReader(r)
+		b.chunkReader = &chunkReader{r: r}
 	}
 	if b.remaining > limit && !chunked {
 		b.err = ErrBodyTooLong
