Pass an answer on when its server pauses, instead of giving it up

Cause: an answer that stood still for 0.5 s was given up, whatever time the request had left and whatever had come; and an answer of unknown length counted as short until it had given 64 KiB. Giving up was the only way to survive servers that stop in the middle, so it had been kept.

An answer that has begun is followed by a responseWatch of its connection. It is buffered until it is whole, has enough bytes, has been held for 1.5 s or the request's time is nearly up, and then passed on as it comes; one that is known to be short is waited for until that time. If it stands still for 0.5 s, the policy hears of it (ResponseStalled) and may send the request to another server beside it, where settings and effect allow copies; the first to be whole or passed on wins. An answer that flows slowly no longer counts as work at its server (ResponseSlow) and does not eject it. What stands still for 5 s ends, as before on streamed answers. Bodies of errors are discarded within 0.1 s. An early final answer to an upload has the client's time, which has not begun.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,6 +9,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -48,6 +49,8 @@
 	ClientDisconnected(policy.Time, policy.RequestID, policy.Actions)
 	Timer(policy.Time, string, policy.Actions)
 	Reconfigure(policy.Config) error
+	ResponseSlow(policy.Time, policy.RequestID, int, policy.Actions)
+	ResponseStalled(policy.Time, policy.RequestID, int, policy.Actions)
 	ResponseStarted(policy.Time, policy.RequestID, int, policy.Actions)
 	UploadComplete(now policy.Time, id policy.RequestID, receivedAt policy.Time, act policy.Actions)
 	StopSending(policy.Time, policy.RequestID, policy.Actions)
@@ -440,7 +443,7 @@
 	}
 	delay := now - a.sentAt
 	if a.replyBegunAt != 0 {
-		// How long the rest of a streamed reply takes is not the server's latency.
+		// How long the rest of a slow or streamed reply takes is not the server's latency.
 		delay = a.replyBegunAt - a.sentAt
 	}
 	if result.Status == policy.OK && !r.ended {
@@ -449,7 +452,7 @@
 		e.deliver(r, Result{Kind: Served, Reply: result.Reply, Server: a.Server, Attempts: len(r.attempts)})
 	}
 	e.module.Outcome(now, policy.Outcome{
-		ID: r.id, Attempt: a.Number, Server: a.Server, Status: result.Status, Delay: delay,
+		ID: r.id, Attempt: a.Number, Server: a.Server, Status: result.Status, Reason: result.End.Reason, Delay: delay,
 		Final: r.ended, Load: result.Load, NoResend: result.PayloadConsumed,
 	}, e)
 	e.releaseIfDone(r)
@@ -462,7 +465,7 @@
 	e, r := a.engine, a.req
 	e.event(func(now policy.Time) {
 		if wanted = !r.ended; wanted {
-			a.replyBegunAt = now
+			a.replyBegunAt = cmp.Or(a.replyBegunAt, now)
 			e.markEnded(r)
 			r.cancelUnsent(a)
 			e.deliver(r, Result{Kind: Served, Reply: reply, Streamed: true, Server: a.Server, Attempts: len(r.attempts)})
@@ -472,6 +475,33 @@
 	return wanted
 }
 
+// ResponseSlow tells the module that a reply has begun, at begunAt, and is not complete soon after.
+func (a *Attempt) ResponseSlow(begunAt time.Time) {
+	e := a.engine
+	e.event(func(now policy.Time) {
+		a.replyBegunAt = min(now, begunAt.Sub(e.origin))
+		e.module.ResponseSlow(now, a.req.id, a.Number, e)
+	})
+}
+
+// ResponseStalled tells the module that a reply has begun and stands still, unless the request has
+// ended.
+func (a *Attempt) ResponseStalled() {
+	e, r := a.engine, a.req
+	e.event(func(now policy.Time) {
+		if !r.ended {
+			e.module.ResponseStalled(now, r.id, a.Number, e)
+		}
+	})
+}
+
+// Alone reports whether no other attempt of the request is in flight.
+func (a *Attempt) Alone() bool {
+	a.engine.mu.Lock()
+	defer a.engine.mu.Unlock()
+	return a.req.outstanding <= 1
+}
+
 // Timeout returns how long the client waits for the reply.
 func (a *Attempt) Timeout() time.Duration { return a.req.Timeout }
 
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -104,7 +104,7 @@
 	req          *Request
 	sentAt       policy.Time
 	ended        bool        // the transport has returned
-	replyBegunAt policy.Time // when BeginReply was called; zero if it was not
+	replyBegunAt policy.Time // when a slow or streamed reply began; zero: there is none
 	stage        atomic.Int32
 
 	mu       sync.Mutex
--- a/internal/httpmsg/body.go
+++ b/internal/httpmsg/body.go
@@ -144,9 +144,7 @@
 		n++
 	}
 	for int64(len(buf)) < n {
-		if len(buf) == cap(buf) {
-			buf = grown(buf, n)
-		}
+		buf = Grow(buf, n)
 		m, err := b.Read(buf[len(buf):min(int64(cap(buf)), n)])
 		buf = buf[:len(buf)+m]
 		if err == io.EOF {
@@ -163,8 +161,11 @@
 // long, so that little memory is left behind for the garbage collector.
 const minBodyBuffer = 4 << 10
 
-// grown returns buf with room for more, up to limit bytes in all.
-func grown(buf []byte, limit int64) []byte {
+// Grow returns buf with room for more if it is full, up to limit bytes in all.
+func Grow(buf []byte, limit int64) []byte {
+	if len(buf) < cap(buf) {
+		return buf
+	}
 	size := min(max(4*int64(cap(buf)), minBodyBuffer), limit)
 	return append(make([]byte, 0, size), buf...)
 }
--- a/internal/upstream/attempt_end.go
+++ b/internal/upstream/attempt_end.go
@@ -20,14 +20,16 @@
 // connection; deadline is that of the attempt, zero while the request is still being sent.
 func describeEnd(a *engine.Attempt, c *conn, deadline time.Time, err error) engine.AttemptEnd {
 	end := engine.AttemptEnd{Err: err}
+	if a.Canceled() { // c may be in use
+		end.Reason = policy.ReasonCanceled
+		return end
+	}
 	if c != nil {
 		end.Received = c.body.Size()
 	}
 	var notWritten errNotWritten
 	var bodyErr errBodySource
 	switch {
-	case a.Canceled():
-		end.Reason = policy.ReasonCanceled
 	case errors.As(err, &bodyErr):
 		end.Reason = policy.ReasonClient
 	case errors.Is(err, sockets.ErrNoDescriptor) || errors.As(err, &notWritten) || c == nil:
@@ -48,7 +50,7 @@
 	switch {
 	case !c.responseBegun:
 		return policy.ReasonNothingCame
-	case time.Since(c.lastRead) >= responseStallTimeout:
+	case time.Since(c.waitingSince) >= stallNotice:
 		return policy.ReasonStoodStill
 	}
 	return policy.ReasonSlow
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,24 +26,14 @@
 const (
 	// maxInterim limits the 1xx responses before the final one.
 	maxInterim = 5
-	// responseStallTimeout is how long a response that has begun may stall. It bounds the wait for
-	// responses that stop in the middle, which would otherwise use up the time of their request. A
-	// server that writes its response in parts with longer pauses is given up wrongly.
-	responseStallTimeout = 500 * time.Millisecond
-	// streamStallTimeout is the same for a response that is being streamed: its request cannot be
-	// attempted again.
-	streamStallTimeout = 5 * time.Second
+	// responseStallTimeout is how long a response that has begun may stand still. Before it is
+	// passed on, the time of its request mostly ends before.
+	responseStallTimeout = 5 * time.Second
+	// brokenWriteTimeout is how long a server whose connection broke in the middle of a request has
+	// for the response that it may have sent before.
+	brokenWriteTimeout = 500 * time.Millisecond
 	// writeStallTimeout is how long a server may accept no bytes of a request.
 	writeStallTimeout = 2 * time.Second
-	// maxHeldResponses limits the responses of more than maxBufferedBody bytes that are read whole
-	// before they are passed on, or of which as much as that is waiting for a slow client.
-	maxHeldResponses = 128
-	// passOnReserve is how long before its deadline a long response that is still being buffered is
-	// passed on.
-	passOnReserve = 50 * time.Millisecond
-	// maxBufferedBody is how much of a long response is buffered before it is streamed. Broken
-	// responses mostly break near their start, and until then the request can be attempted again.
-	maxBufferedBody = 16 << 10
 	// idleFraction is the fraction of the idle limit after which an idle connection is closed. The
 	// server closes it at the limit, and a request sent at that moment is lost to a reset.
 	idleFraction = 0.6
@@ -99,8 +89,9 @@
 	exchangeDeadline time.Time // deadline of the current exchange
 	responseBegun    bool      // the first byte of the current response has arrived
 	stallTimeout     time.Duration
-	lastRead         time.Time    // when the last bytes arrived
-	bytesWritten     atomic.Int64 // bytes of the current exchange that the kernel has accepted
+	waitingSince     time.Time      // when the present or last Read began
+	watch            *responseWatch // of the response that is being buffered; nil: none
+	bytesWritten     atomic.Int64   // bytes of the current exchange that the kernel has accepted
 }
 
 // Write implements net.Conn.
@@ -117,17 +108,32 @@
 	return c
 }
 
-// Read implements net.Conn. A response that has begun may stall for c.stallTimeout. Its first read
-// has no deadline of its own, and most responses need only one read.
+// Read implements net.Conn. A response that has begun may stand still for c.stallTimeout; while it
+// does, the connection's watch is woken when it asks for that. The first read of an exchange has no
+// deadline of its own, and most responses need only one read.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.responseBegun {
-		c.SetReadDeadline(earlier(c.exchangeDeadline, time.Now().Add(c.stallTimeout)))
+	if !c.responseBegun {
+		return c.Conn.Read(p)
 	}
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.lastRead = time.Now()
+	c.waitingSince = time.Now()
+	for {
+		limit := earlier(c.exchangeDeadline, c.waitingSince.Add(c.stallTimeout))
+		wakeAt := limit
+		if c.watch != nil {
+			if next := c.watch.nextAt(c.waitingSince); !next.IsZero() {
+				wakeAt = earlier(limit, next)
+			}
+		}
+		c.SetReadDeadline(wakeAt)
+		n, err := c.Conn.Read(p)
+		if n > 0 || c.watch == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		now := time.Now()
+		if c.watch.wake(now, c.waitingSince); c.watch != nil && !now.Before(limit) {
+			return n, err
+		}
 	}
-	return n, err
 }
 
 // maxUnsent is how much of a request a connection may have written so that no part of it waits in
@@ -198,7 +204,7 @@
 func (c *conn) resetExchange(t time.Time) {
 	c.responseBegun, c.stallTimeout = false, responseStallTimeout
 	c.bytesWritten.Store(0)
-	c.body = httpmsg.Body{}
+	c.body, c.watch = httpmsg.Body{}, nil
 	c.setExchangeDeadline(t)
 }
 
@@ -455,12 +461,15 @@
 // exchange writes m and reads the head of the response, which is then in c.head and still in c.r.
 // If the body of m is still arriving, it calls uploaded once all of it is written. early reports
 // that the response began before that.
-func (c *conn) exchange(m *httpmsg.Message, remaining, timeout time.Duration, uploaded func(receivedAt time.Time)) (code, minor int, early bool, err error) {
+//
+// If watch is not nil, it is called at the first byte of each response with the time by which the
+// first bytes have to come, and returns what follows the response.
+func (c *conn) exchange(m *httpmsg.Message, remaining, timeout time.Duration, uploaded func(receivedAt time.Time), watch func(deadline time.Time) *responseWatch) (code, minor int, early bool, err error) {
 	if err := c.write(m, remaining, timeout, uploaded); errors.Is(err, errEarlyResponse) {
 		early = true
-		// The upload may have lasted longer than the time that was left when it began.
-		if soon := time.Now().Add(responseStallTimeout); c.exchangeDeadline.Before(soon) {
-			c.exchangeDeadline = soon
+		// The client's time has not begun, as it has not sent its last byte.
+		if until := time.Now().Add(timeout); c.exchangeDeadline.Before(until) {
+			c.exchangeDeadline = until
 		}
 		c.SetReadDeadline(c.exchangeDeadline)
 	} else if err != nil {
@@ -468,13 +477,16 @@
 	}
 	for i := range maxInterim {
 		if i > 0 { // the previous response may have set its stall deadline
-			c.responseBegun = false
+			c.responseBegun, c.watch = false, nil
 			c.SetReadDeadline(c.exchangeDeadline)
 		}
 		if _, err := c.r.Peek(1); err != nil {
 			return 0, 0, early, err
 		}
-		c.responseBegun = true
+		c.responseBegun, c.waitingSince = true, time.Now()
+		if watch != nil {
+			c.watch = watch(c.exchangeDeadline)
+		}
 		if err := c.head.Read(c.r); err != nil {
 			return 0, 0, early, err
 		}
@@ -512,99 +524,3 @@
 	c.body.Reset(c.r, length, c.head.Chunked)
 	return last || length < 0 && !c.head.Chunked
 }
-
-// readStart reads a body of up to httpmsg.MaxFullBody bytes whole, unless too many responses are
-// being held: then it reads the first maxBufferedBody bytes, as of a body that is known to be longer.
-// held tells whether the response counts as held.
-func (t *Transport) readStart(c *conn, deadline time.Time) (start []byte, held bool, err error) {
-	if c.head.ContentLength > httpmsg.MaxFullBody && !c.body.Ended() {
-		start, err = c.readLongStart(deadline)
-		return start, false, err
-	}
-	if start, err = c.body.ReadUpTo(maxBufferedBody); err != nil || c.body.Ended() {
-		return start, false, err
-	}
-	if t.heldResponses.Add(1) > maxHeldResponses {
-		t.heldResponses.Add(-1)
-		return start, false, nil
-	}
-	rest, err := c.body.ReadUpTo(httpmsg.MaxFullBody - int64(len(start)))
-	return append(start, rest...), true, err
-}
-
-// readLongStart reads the start of a body that is longer than httpmsg.MaxFullBody: maxBufferedBody
-// bytes, or what has come shortly before the deadline, because only the first bytes of such a
-// response have to come by then.
-func (c *conn) readLongStart(deadline time.Time) ([]byte, error) {
-	soon := deadline.Add(-passOnReserve)
-	start := make([]byte, 0, maxBufferedBody)
-	for len(start) < cap(start) {
-		c.exchangeDeadline = deadline
-		if len(start) > 0 {
-			c.exchangeDeadline = soon
-		}
-		_, err := c.r.Peek(1) // a deadline that it meets does not end the body
-		if errors.Is(err, os.ErrDeadlineExceeded) && len(start) > 0 && !time.Now().Before(soon) {
-			return start, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		n, err := c.body.Read(start[len(start):cap(start)])
-		if start = start[:len(start)+n]; err != nil {
-			return nil, err
-		}
-	}
-	return start, nil
-}
-
-// streamedBody is the rest of a response that is streamed. It implements io.ReadCloser, for use by
-// one goroutine.
-type streamedBody struct {
-	c *conn
-	// finish makes the connection idle, or closes it. It gets io.EOF if all was read, nil if closed
-	// early.
-	finish func(error)
-	ended  atomic.Bool
-	done   chan struct{} // closed once the body is read to its end or closed
-	// err is set before done is closed: what ended the body; nil: it was closed before its end.
-	err error
-}
-
-// Read implements io.Reader. The last bytes come with io.EOF. After that the connection may belong
-// to another request, whose response must not be touched: further reads return no data.
-func (l *streamedBody) Read(p []byte) (int, error) {
-	select {
-	case <-l.done:
-		if l.err == nil {
-			return 0, net.ErrClosed
-		}
-		return 0, l.err
-	default:
-	}
-	n, err := l.c.body.Read(p)
-	if err == nil && l.c.body.Ended() {
-		err = io.EOF
-	}
-	if err != nil {
-		l.end(err, l.finish)
-	}
-	return n, err
-}
-
-// Close implements io.Closer.
-func (l *streamedBody) Close() error {
-	l.end(nil, l.finish)
-	return nil
-}
-
-// end ends the body once, with err. A second call does not wait for the first: it may hold a lock
-// that finish needs in the first, such as an attempt's lock while the attempt is canceled.
-func (l *streamedBody) end(err error, settle func(error)) {
-	if !l.ended.CompareAndSwap(false, true) {
-		return
-	}
-	settle(err)
-	l.err = err
-	close(l.done)
-}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -24,7 +24,7 @@
 	c := newConn(near, engine.Endpoint{}, func() {}, defaultReadBuffer)
 	m := &httpmsg.Message{Method: "POST", Target: "/order/k", Host: "s", Body: []byte(strings.Repeat("x", httpmsg.MaxFullBody))}
 	var notWritten errNotWritten
-	if _, _, _, err := c.exchange(m, time.Second, time.Second, nil); !errors.As(err, &notWritten) {
+	if _, _, _, err := c.exchange(m, time.Second, time.Second, nil, nil); !errors.As(err, &notWritten) {
 		t.Errorf("error %v, want errNotWritten", err)
 	}
 }
--- a/internal/upstream/routed.go
+++ b/internal/upstream/routed.go
@@ -70,7 +70,7 @@
 		c.Close()
 		return t.routedFailure(a, x, errNotWritten{err})
 	} else { // the server may still have responded, and closed
-		x.deadline = time.Now().Add(responseStallTimeout)
+		x.deadline = time.Now().Add(brokenWriteTimeout)
 		c.SetReadDeadline(x.deadline)
 	}
 	if m.Upload == nil {
@@ -265,7 +265,7 @@
 		return
 	}
 	x.timedOut = errors.Is(err, errUploadTimeout)
-	if x.deadline = time.Now().Add(responseStallTimeout); x.bodyErr != nil || x.timedOut {
+	if x.deadline = time.Now().Add(brokenWriteTimeout); x.bodyErr != nil || x.timedOut {
 		x.deadline = time.Now()
 	}
 	if !x.headBegun { // the server may still have responded, and closed
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -130,7 +128,7 @@
 	if c == nil {
 		var err error
 		if c, err = t.dial(a, to); err != nil {
-			return t.failure(a, nil, errNotWritten{err})
+			return t.failure(a, nil, a.Deadline, errNotWritten{err})
 		}
 	}
 	if !a.Sending(c.abort) {
@@ -144,93 +142,28 @@
 	code, minor, early, err := c.exchange(m, max(time.Until(a.Deadline), 1), a.Timeout(), func(receivedAt time.Time) {
 		a.Deadline = a.Uploaded(receivedAt)
 		c.setExchangeDeadline(a.Deadline)
+	}, func(deadline time.Time) *responseWatch {
+		return &responseWatch{t: t, a: a, c: c, deadline: deadline, begunAt: time.Now()}
 	})
+	w := c.watch
 	if err != nil {
+		c.watch = nil
 		c.Close()
-		return t.failure(a, c, err)
-	}
-	result := engine.AttemptResult{Status: policy.OK}
-	var answer *httpmsg.Response
-	if code == http.StatusOK {
-		answer = &httpmsg.Response{}
-	} else if result.Status = policy.AppError; code/100 == 4 {
-		result.Status = policy.Rejected
-	}
-	format := t.loadFormat.Load()
-	for _, f := range c.head.Fields {
-		switch {
-		case format.inline && f.Is("X-Server-Load"):
-			result.Load = t.parseReport(to, string(f.Value), format.fields)
-		case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
-			f.Is("X-Not-Processed") && string(f.Value) == "1":
-			result.Status = policy.Overloaded
-		}
-		if answer != nil && !c.head.IsHopByHop(f) {
-			if answer.HeaderLines == nil {
-				answer.HeaderLines = make([]byte, 0, 256)
-			}
-			answer.HeaderLines = f.Append(answer.HeaderLines)
+		if w != nil {
+			return w.failure(err)
 		}
+		return t.failure(a, c, a.Deadline, err)
 	}
+	result := engine.AttemptResult{Status: policy.OK}
+	answer := t.readResult(c, to, code, &result)
 	c.head.Discard(c.r)
 	last := c.beginBody(code, minor) || early
-	body, held, err := t.readStart(c, a.Deadline)
-	if held {
-		defer t.heldResponses.Add(-1)
-	}
-	if answer != nil && err == nil && !c.body.Ended() {
-		answer.Body = body
-		c.exchangeDeadline, c.stallTimeout = time.Now().Add(maxStreamTime), streamStallTimeout
-		return t.streamBody(a, c, answer, result, func() bool { return last })
-	}
-	active := a.OnCancel(nil) // from here on c does not belong to the attempt
-	if last || err != nil || !active || !c.body.Ended() {
-		c.Close()
-	} else {
-		t.pool.putIdle(c)
-	}
-	if answer != nil {
-		if err != nil {
-			return t.failure(a, c, err)
-		}
-		answer.Body = body
-		result.Reply = answer
-	}
-	result.PayloadConsumed = bodyConsumed(a)
-	return result
-}
-
-// streamBody passes a long response on as it arrives, and waits for its end. It returns result if
-// the body is complete or its reader closed it. last reports whether the connection can carry no
-// further exchange after a complete body.
-func (t *Transport) streamBody(a *engine.Attempt, c *conn, answer *httpmsg.Response, result engine.AttemptResult, last func() bool) engine.AttemptResult {
-	rest := &streamedBody{c: c, done: make(chan struct{}), finish: func(err error) {
-		if a.OnCancel(nil) && err == io.EOF && !last() {
-			t.pool.putIdle(c)
-		} else {
-			c.Close()
-		}
-	}}
-	answer.BodyRest, answer.Length = rest, c.head.ContentLength
-	if c.head.Chunked {
-		answer.Length = -1
-	}
-	cancel := func() { // also ends the body if nobody reads it
-		c.abort()
-		rest.end(net.ErrClosed, func(error) {})
-	}
-	if !a.OnCancel(cancel) || !a.BeginReply(answer) {
-		c.Close()
-		return engine.AttemptResult{Status: policy.Canceled}
-	}
-	<-rest.done
-	// A body that its reader closed says nothing about the server.
-	if rest.err == io.EOF || rest.err == nil {
+	if answer == nil {
+		t.discardBody(a, c, last)
+		result.PayloadConsumed = bodyConsumed(a)
 		return result
 	}
-	failed := t.failure(a, c, rest.err)
-	failed.End.PassedOn = true
-	return failed
+	return w.receive(answer, result, func() bool { return last })
 }
 
 // bodyConsumed reports whether the payload of a cannot be sent again.
@@ -251,8 +184,8 @@
 }
 
 // failure returns the result of an attempt without a complete response. c is nil if there was no
-// connection.
-func (t *Transport) failure(a *engine.Attempt, c *conn, err error) engine.AttemptResult {
+// connection. deadline is the time by which the response had to come.
+func (t *Transport) failure(a *engine.Attempt, c *conn, deadline time.Time, err error) engine.AttemptResult {
 	status := policy.Reset
 	var notWritten errNotWritten
 	var bodyErr errBodySource
@@ -264,11 +197,11 @@
 		status = policy.NotSent
 	case errors.As(err, &notWritten): // whatever the cause, the server never had the whole request
 		status = policy.ConnectFailed
-	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(a.Deadline):
+	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(deadline):
 		// Otherwise the response has stalled.
 		status = policy.Timeout
 	}
-	return engine.AttemptResult{Status: status, PayloadConsumed: bodyConsumed(a), End: describeEnd(a, c, a.Deadline, err)}
+	return engine.AttemptResult{Status: status, PayloadConsumed: bodyConsumed(a), End: describeEnd(a, c, deadline, err)}
 }
 
 // Probe implements engine.Transport. It takes up to 400 ms.
@@ -286,7 +219,7 @@
 		}
 	}
 	defer context.AfterFunc(ctx, c.closeFunc)()
-	code, minor, _, err := c.exchange(&httpmsg.Message{Method: http.MethodGet, Target: "/load", Host: to.Addr}, 0, 0, nil)
+	code, minor, _, err := c.exchange(&httpmsg.Message{Method: http.MethodGet, Target: "/load", Host: to.Addr}, 0, 0, nil, nil)
 	var body []byte
 	last := false
 	if err == nil {
--- a/policy/api.go
+++ b/policy/api.go
@@ -181,6 +181,7 @@
 	Attempt  int
 	Server   ServerID
 	Status   Status
+	Reason   Reason // ReasonNone: nothing is known but the status
 	Delay    time.Duration
 	Final    bool // the request has ended
 	NoResend bool // the request cannot be sent again, even if the rules allow it
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -461,11 +461,7 @@
 // Outcome handles the end of an attempt.
 func (b *Balancer) Outcome(now Time, o Outcome, act Actions) {
 	if s := b.servers[o.Server]; s != nil {
-		if o.Status == OK || o.Status == Rejected {
-			s.failures, s.lastOK = 0, now
-		} else {
-			b.recordFailure(now, s, o.Status)
-		}
+		b.recordOutcome(now, s, o)
 		b.recordReport(now, s, o.Load)
 	}
 	r := b.requests[o.ID]
@@ -499,6 +495,20 @@
 	}
 }
 
+// recordOutcome records what the end of an attempt says of its server.
+func (b *Balancer) recordOutcome(now Time, s *server, o Outcome) {
+	switch {
+	case o.Status == OK || o.Status == Rejected:
+		s.failures, s.lastOK = 0, now
+	case o.Reason == ReasonSlow:
+		// Its response flowed: the server, or the way to it, is slow, but sound.
+	case o.Status == Canceled && o.Reason == ReasonStoodStill:
+		b.recordFailure(now, s, Timeout) // another attempt got ahead of it
+	default:
+		b.recordFailure(now, s, o.Status)
+	}
+}
+
 // recordFailure counts a failure of a server and leaves it out of the ready set for a time that
 // grows with the failures in a row. This guards against servers that fail quickly and therefore
 // keep a short queue.
