Count an upload in chunks as still arriving while its reads wait

Cause: whether a read had to wait for the client was judged by what was buffered before it. The line break after a chunk now stays in the buffer until the next read, so that reads that waited did not count as such, and the client's time was taken to run from the start of the body.

The connection itself notes whether a read of the socket found nothing.

--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -177,6 +177,10 @@
 	// An unfinished response is delimited by the close of the connection. Guarded by Server.mu.
 	closeDelimited bool
 	received       atomic.Bool // something has been read since phaseServing last began
+	// While an upload is read: looks for unread data before each read, and whether a read had to wait
+	// for the client since waited was reset. Both belong to the goroutine that reads.
+	uploadPeek *sockets.Peeker
+	waited     bool
 }
 
 // openRequest is a request that was passed to an engine, or is about to be.
@@ -187,6 +191,9 @@
 
 // Read implements net.Conn and records in received that data has arrived.
 func (c *clientConn) Read(p []byte) (int, error) {
+	if c.uploadPeek != nil && c.uploadPeek.Empty() {
+		c.waited = true
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.received.Store(true)
@@ -813,10 +820,11 @@
 		until = still
 	}
 	p.c.SetReadDeadline(until)
-	waits := p.c.r.Buffered() == 0 && p.peek.Empty()
+	p.c.uploadPeek, p.c.waited = p.peek, false
 	n, err := p.c.body.Read(b)
+	p.c.uploadPeek = nil
 	p.bytesRead += int64(n)
-	if p.mayBeSent() && (waits || p.receivedAt.Load() == nil) {
+	if p.mayBeSent() && (p.c.waited || p.receivedAt.Load() == nil) {
 		received := time.Now()
 		p.receivedAt.Store(&received)
 	}
