Count bytes that trickle into a socket as progress of a slow peer

Callers of the platform's front got 503 after 2.0 s for a body of 32 MB whose server reads a steady 100 KB a second. A client that reads a long answer of 4 MB at 100 KB a second was cut off by routes with a stall of 5 s.

Cause: a write had to finish within the limit on a standstill. The kernel reports a socket as writable only once a third of its send buffer is free, which is over a megabyte, so a steady reader looks like one that stands still. And 2 s is less than the step by which the window of a slow reader opens.

WriteWithin tries a write that blocks again every 0.1 s and counts what the kernel then accepts; a server may accept nothing for 5 s, as an answer may stand still. An early answer ends a blocked upload within 0.1 s. A body's least rate counts the time spent waiting for the client alone, not that of a server that reads slowly.

--- a/internal/fronttest/slow_upload_test.go
+++ b/internal/fronttest/slow_upload_test.go
@@ -1,7 +1,12 @@
 package fronttest
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -23,3 +28,60 @@
 		}
 	})
 }
+
+// TestUploadThatIsReadInSteps guards against an upload that is given up because its server seems to
+// stand still: the window of a large socket buffer opens only after the server has read some hundred
+// KB, which takes a steady reader of 100 KB a second several seconds.
+func TestUploadThatIsReadInSteps(t *testing.T) {
+	const (
+		bodySize = 32 << 20
+		rate     = 100 << 10       // bytes per second that the server reads
+		watched  = 6 * time.Second // longer than one step
+	)
+	onBothFronts(t, func(t *testing.T, kind string) {
+		var read atomic.Int64
+		server := startServer(t, func(_ http.ResponseWriter, q *http.Request) {
+			buf := make([]byte, rate/50)
+			for {
+				n, err := io.ReadFull(q.Body, buf)
+				if read.Add(int64(n)); err != nil {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+		f := startFront(t, kind, options{servers: []string{server}})
+		c, err := f.dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetWriteBuffer(64 << 10) // the client still has most of the body
+		io.WriteString(c, requestHead("pay", newID(), bodySize, ""))
+		written := make(chan error, 1)
+		go func() {
+			_, err := io.CopyN(c, zeros{}, bodySize)
+			written <- err
+		}()
+		c.SetReadDeadline(time.Now().Add(watched))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
+			status := "no answer"
+			if err == nil {
+				status = fmt.Sprint("status ", resp.StatusCode)
+			}
+			t.Errorf("%s (%v) while the server is reading: it has %d bytes", status, err, read.Load())
+		}
+		select {
+		case err := <-written:
+			t.Errorf("the client has written all: %v", err)
+		default:
+		}
+	})
+}
+
+// zeros is an endless reader of zero bytes.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -178,9 +178,9 @@
 	closeDelimited bool
 	received       atomic.Bool // something has been read since phaseServing last began
 	// While an upload is read: looks for unread data before each read, and whether a read had to wait
-	// for the client since waited was reset. Both belong to the goroutine that reads.
+	// for the client since readWaited was reset. Both belong to the goroutine that reads.
 	uploadPeek *sockets.Peeker
-	waited     bool
+	readWaited bool
 }
 
 // openRequest is a request that was passed to an engine, or is about to be.
@@ -192,7 +192,7 @@
 // Read implements net.Conn and records in received that data has arrived.
 func (c *clientConn) Read(p []byte) (int, error) {
 	if c.uploadPeek != nil && c.uploadPeek.Empty() {
-		c.waited = true
+		c.readWaited = true
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
@@ -766,9 +766,9 @@
 // body that never ends.
 type minRateReader struct {
 	c           *clientConn
-	start       time.Time // start of the body
-	bytesRead   int64     // bytes read so far
-	length      int64     // of the body; negative: unknown
+	waited      time.Duration // time spent in Read: the client's, not that of a server that reads slowly
+	bytesRead   int64         // bytes read so far
+	length      int64         // of the body; negative: unknown
 	limits      *connLimits
 	onFirstRead func() // called before the first Read; may be nil
 
@@ -784,7 +784,7 @@
 // been read. The length is that of the whole body; negative: unknown.
 func (s *Server) newMinRateReader(c *clientConn, bytesRead, length int64) *minRateReader {
 	now := time.Now()
-	p := &minRateReader{c: c, start: now, bytesRead: bytesRead, length: length, limits: &s.limits, peek: sockets.NewPeeker(c.Conn)}
+	p := &minRateReader{c: c, bytesRead: bytesRead, length: length, limits: &s.limits, peek: sockets.NewPeeker(c.Conn)}
 	if p.mayBeSent() {
 		p.receivedAt.Store(&now)
 	}
@@ -810,21 +810,23 @@
 	now := time.Now()
 	if p.onFirstRead != nil {
 		p.onFirstRead()
-		p.onFirstRead, p.start = nil, now
+		p.onFirstRead, p.waited = nil, 0
 	}
-	until := p.start.Add(p.limits.bodyStallTimeout + bodyTimeout - bodyStallTimeout + time.Duration(float64(p.bytesRead)/float64(p.limits.minBodyRate)*float64(time.Second)))
-	if now.After(until) {
+	allowed := p.limits.bodyStallTimeout + bodyTimeout - bodyStallTimeout + time.Duration(float64(p.bytesRead)/float64(p.limits.minBodyRate)*float64(time.Second))
+	if p.waited > allowed {
 		return 0, os.ErrDeadlineExceeded
 	}
+	until := now.Add(allowed - p.waited)
 	if still := now.Add(p.limits.bodyStallTimeout); still.Before(until) {
 		until = still
 	}
 	p.c.SetReadDeadline(until)
-	p.c.uploadPeek, p.c.waited = p.peek, false
+	p.c.uploadPeek, p.c.readWaited = p.peek, false
 	n, err := p.c.body.Read(b)
 	p.c.uploadPeek = nil
+	p.waited += time.Since(now)
 	p.bytesRead += int64(n)
-	if p.mayBeSent() && (p.c.waited || p.receivedAt.Load() == nil) {
+	if p.mayBeSent() && (p.c.readWaited || p.receivedAt.Load() == nil) {
 		received := time.Now()
 		p.receivedAt.Store(&received)
 	}
@@ -932,7 +934,6 @@
 	s.setCloseDelimited(c, !chunked && a.Length < 0)
 	var size [20]byte
 	writePart := func(first, b []byte) error {
-		c.SetWriteDeadline(time.Now().Add(s.limits.streamTimeout))
 		parts := net.Buffers{first, b}
 		if chunked {
 			parts = net.Buffers{first, httpmsg.AppendChunkHead(size[:0], len(b)), b, []byte("\r\n")}
@@ -940,7 +941,7 @@
 		if len(b) == 0 {
 			parts = net.Buffers{first}
 		}
-		_, err := parts.WriteTo(c.Conn)
+		_, err := sockets.WriteWithin(c.Conn, &parts, s.limits.streamTimeout, time.Time{}, nil)
 		return err
 	}
 	start, sent := time.Now(), int64(len(a.Body))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,7 +33,7 @@
 	// for the response that it may have sent before.
 	brokenWriteTimeout = 500 * time.Millisecond
 	// writeStallTimeout is how long a server may accept no bytes of a request.
-	writeStallTimeout = 2 * time.Second
+	writeStallTimeout = 5 * time.Second
 	// idleFraction is the fraction of the idle limit after which an idle connection is closed. The
 	// server closes it at the limit, and a request sent at that moment is lost to a reset.
 	idleFraction = 0.6
@@ -89,16 +89,26 @@
 	exchangeDeadline time.Time // deadline of the current exchange
 	responseBegun    bool      // the first byte of the current response has arrived
 	stallTimeout     time.Duration
-	waitingSince     time.Time      // when the present or last Read began
-	watch            *responseWatch // of the response that is being buffered; nil: none
-	bytesWritten     atomic.Int64   // bytes of the current exchange that the kernel has accepted
+	writeStall       time.Duration // while a body is uploaded: how long the server may accept nothing; otherwise 0
+	// While writeStall is set: the end of the write, zero: it has none, and what tells that the
+	// server needs no more of it.
+	writeUntil   time.Time
+	writeAbandon func() bool
+	waitingSince time.Time      // when the present or last Read began
+	watch        *responseWatch // of the response that is being buffered; nil: none
+	bytesWritten atomic.Int64   // bytes of the current exchange that the kernel has accepted
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. While a body is uploaded, it is bounded by c.writeStall and c.writeUntil.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytesWritten.Add(int64(n))
-	return n, err
+	if c.writeStall == 0 {
+		n, err := c.Conn.Write(p)
+		c.bytesWritten.Add(int64(n))
+		return n, err
+	}
+	n, err := sockets.WriteWithin(c.Conn, &net.Buffers{p}, c.writeStall, c.writeUntil, c.writeAbandon)
+	c.bytesWritten.Add(n)
+	return int(n), err
 }
 
 func newConn(nc net.Conn, to engine.Endpoint, release func(), buffer int) *conn {
@@ -400,13 +410,13 @@
 // body's source are returned as errBodySource.
 func (c *conn) sendBody(m *httpmsg.Message, stall, timeout time.Duration, responded func() bool) error {
 	chunked := m.Length < 0
+	c.writeStall, c.writeAbandon = stall, responded
+	defer func() { c.writeStall, c.writeAbandon = 0, nil }()
 	writePart := func(b []byte) error {
-		until := time.Now().Add(stall)
 		received := m.Upload.ReceivedAt()
-		if !received.IsZero() {
-			until = earlier(until, received.Add(timeout))
+		if c.writeUntil = (time.Time{}); !received.IsZero() {
+			c.writeUntil = received.Add(timeout)
 		}
-		c.SetWriteDeadline(until)
 		if chunked && len(b) > 0 {
 			c.w.Write(httpmsg.AppendChunkHead(c.numBuf[:0], len(b)))
 		}
@@ -415,6 +425,9 @@
 			c.w.WriteString("\r\n")
 		}
 		err := c.w.Flush()
+		if errors.Is(err, os.ErrDeadlineExceeded) && responded() {
+			return errEarlyResponse
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && !received.IsZero() && time.Since(received) >= timeout {
 			return errUploadTimeout
 		}
