Pass an answer on through the library's Handler as it comes

Callers of Balancer.Handler got the first bytes of a long answer only once some KB of it had come, however long its server paused: after 2 s in the test, where the client's time was 0.5 s.

Cause: the answer was copied without a flush, so that net/http kept the head and up to 4 KB back. Handler of Pools flushed already.

Both use the same copy now.

Evidence: TestHandlerPassesAnswersOnAsTheyCome fails without it (first bytes after 2.0 s) and passes with -race.

--- a/http.go
+++ b/http.go
@@ -406,7 +406,7 @@
 	answer := bodyReader(req.Context(), a)
 	defer answer.Close()
 	w.WriteHeader(http.StatusOK)
-	if _, err := io.Copy(w, answer); err != nil && a.BodyRest != nil {
+	if err := copyAndFlush(w, answer, a.BodyRest != nil); err != nil && a.BodyRest != nil {
 		panic(http.ErrAbortHandler) // lets the client detect that the answer is incomplete
 	}
 }
