--- a/internal/fronttest/scripted_server_test.go
+++ b/internal/fronttest/scripted_server_test.go
@@ -73,6 +73,15 @@
 	return p
 }
 
+// duration returns how long the answer takes from its head to its end.
+func (p *answerPlan) duration() time.Duration {
+	d := p.lastPause
+	for _, part := range p.pieces {
+		d += part.pause
+	}
+	return d
+}
+
 // size returns the length of the body in bytes.
 func (p *answerPlan) size() int {
 	n := p.missing
@@ -217,6 +226,9 @@
 			f.mu.Lock()
 			record.complete = plan.ending == endsInOrder
 			f.mu.Unlock()
+			if plan.framing == untilClose {
+				c.CloseWrite() // the end of the answer, while the request is still being read
+			}
 			if readBodyAtRate(q.Body, plan.readRate) != nil || plan.framing == untilClose || plan.ending != endsInOrder {
 				return
 			}
