Keep a long early answer of the library's handlers from being cut off

Callers of Balancer.Handler got 65,537 bytes of a long answer and a broken connection, where the server answered before it had the whole request.

Cause: the pending read of the client's body is ended by a deadline in the past. net/http's server ends a request's context when such a read fails, and the rest of the answer was closed with that context, as if the client had left.

An answer to a request whose reading was interrupted is written without that context; a client that leaves is noticed by the writes. Handler of Pools is mended in the same way, by the same type.

--- a/http.go
+++ b/http.go
@@ -384,8 +384,9 @@
 	call.Host, call.HostOptional = req.Host, !req.ProtoAtLeast(1, 1)
 	var a *httpmsg.Response
 	body := &clientBody{ReadCloser: req.Body}
+	early := &bodyInterrupter{w: w, req: req}
 	if err == nil {
-		a, err = b.do(req.Context(), &call, req.Header, body, func() { http.NewResponseController(w).SetReadDeadline(time.Now()) })
+		a, err = b.do(req.Context(), &call, req.Header, body, early.interrupt)
 	}
 	header := w.Header()
 	if err != nil {
@@ -403,7 +404,7 @@
 	if n := contentLength(a); n >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
-	answer := bodyReader(req.Context(), a)
+	answer := bodyReader(early.answerContext(), a)
 	defer answer.Close()
 	w.WriteHeader(http.StatusOK)
 	if err := copyAndFlush(w, answer, a.BodyRest != nil); err != nil && a.BodyRest != nil {
--- a/pools.go
+++ b/pools.go
@@ -392,7 +392,8 @@
 	if received.Body = body; req.ContentLength == 0 {
 		received.Body = http.NoBody // in a received request, a length of 0 means no body
 	}
-	a, finish, err := p.do(&received, requestTarget(req), req.Host, via, interim, func() { http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	early := &bodyInterrupter{w: w, req: req}
+	a, finish, err := p.do(&received, requestTarget(req), req.Host, via, interim, early.interrupt)
 	mu.Lock()
 	finalStarted = true
 	mu.Unlock()
@@ -421,7 +422,7 @@
 	if a.NoBody {
 		return
 	}
-	answer := bodyReader(req.Context(), a)
+	answer := bodyReader(early.answerContext(), a)
 	defer answer.Close()
 	if err := copyAndFlush(w, answer, a.BodyRest != nil); err != nil {
 		panic(http.ErrAbortHandler) // lets the client detect that the answer is incomplete
