Pass the answer to an upload on before the policy ends its request

Cause: for an upload the transport reckoned with the client's time, counted from its last byte, while the policy answers a class without worth after its aim at that aim. So the answer was to be passed on after the request had ended.

UploadComplete returns the time by which the policy answers, and the transport goes by it.

--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -93,8 +93,9 @@
 	s.responseStarts <- id
 }
 
-func (s *scriptedModule) UploadComplete(_ policy.Time, id policy.RequestID, _ policy.Time, _ policy.Actions) {
+func (s *scriptedModule) UploadComplete(_ policy.Time, id policy.RequestID, _ policy.Time, _ policy.Actions) policy.Time {
 	s.uploads <- id
+	return 0 // as late as the client allows
 }
 
 func (s *scriptedModule) StopSending(policy.Time, policy.RequestID, policy.Actions) {}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -52,7 +52,7 @@
 	ResponseSlow(policy.Time, policy.RequestID, int, policy.Actions)
 	ResponseStalled(policy.Time, policy.RequestID, int, policy.Actions)
 	ResponseStarted(policy.Time, policy.RequestID, int, policy.Actions)
-	UploadComplete(now policy.Time, id policy.RequestID, receivedAt policy.Time, act policy.Actions)
+	UploadComplete(now policy.Time, id policy.RequestID, receivedAt policy.Time, act policy.Actions) (answerBy policy.Time)
 	StopSending(policy.Time, policy.RequestID, policy.Actions)
 	GiveUp(policy.Time, policy.RequestID, policy.Actions)
 }
@@ -507,7 +507,8 @@
 
 // Uploaded reports that a payload that was still arriving has been sent to its end. It returns the
 // deadline of the reply: the request's timeout runs from receivedAt, when the last of the payload had
-// arrived, or from now if that is zero. It leaves a.Deadline unchanged.
+// arrived, or from now if that is zero, and the module may answer it before. It leaves a.Deadline
+// unchanged.
 func (a *Attempt) Uploaded(receivedAt time.Time) (deadline time.Time) {
 	e, r := a.engine, a.req
 	e.event(func(now policy.Time) {
@@ -515,11 +516,15 @@
 		if !receivedAt.IsZero() {
 			arrived = min(now, receivedAt.Sub(e.origin))
 		}
-		deadline, a.sentAt = time.Now().Add(r.Timeout-(now-arrived)), now
+		left := r.Timeout - (now - arrived)
+		a.sentAt = now
 		a.SetStage(StageAnswer)
 		if !r.ended {
-			e.module.UploadComplete(now, r.id, arrived, e)
+			if answerBy := e.module.UploadComplete(now, r.id, arrived, e); answerBy > 0 {
+				left = min(left, answerBy-now)
+			}
 		}
+		deadline = time.Now().Add(left)
 	})
 	return deadline
 }
--- a/internal/fronttest/slow_upload_test.go
+++ b/internal/fronttest/slow_upload_test.go
@@ -29,6 +29,21 @@
 	})
 }
 
+// TestSlowAnswerToUpload guards against a long answer to an upload that is given up because it would be
+// passed on only after the policy has ended the request, which it does before the client's time.
+func TestSlowAnswerToUpload(t *testing.T) {
+	onBothFronts(t, func(t *testing.T, kind string) {
+		fleet := startScriptedFleet(t, 2)
+		f := startFront(t, kind, options{servers: fleet.addrs})
+		plan := &answerPlan{shape: "trickle", framing: byLength, pieces: steady(70_000, 9_000)}
+		x := &exchange{class: "pay", wait: 1500 * time.Millisecond, plan: fleet.add(plan), bodySize: 100 << 10, chunked: true}
+		x.run(f)
+		if x.status != http.StatusOK || !x.whole {
+			t.Errorf("%s\n%s", x.describe(plan, fleet.attemptsOf(x.plan)), f.logOf(x.id))
+		}
+	})
+}
+
 // TestUploadThatIsReadInSteps guards against an upload that is given up because its server seems to
 // stand still: the window of a large socket buffer opens only after the server has read some hundred
 // KB, which takes a steady reader of 100 KB a second several seconds.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -980,8 +980,9 @@
 }
 
 // UploadComplete notes that the last byte of a request body has been sent to the server. The
-// request's time counts from receivedAt, when that byte had arrived, and it cannot be sent again.
-func (b *Balancer) UploadComplete(now Time, id RequestID, receivedAt Time, act Actions) {
+// request's time counts from receivedAt, when that byte had arrived, and it cannot be sent again. It
+// returns the time by which the request is answered, zero if it is not open.
+func (b *Balancer) UploadComplete(now Time, id RequestID, receivedAt Time, act Actions) (answerBy Time) {
 	if r := b.requests[id]; r != nil && r.Uploading && !r.ended {
 		r.Uploading, r.noMoreSends = false, true
 		for i := range r.attempts {
@@ -996,7 +997,9 @@
 			*t += shift
 		}
 		act.SetTimer(r.answerBy-now, timerToken(r.ID))
+		answerBy = r.answerBy
 	}
+	return answerBy
 }
 
 // ClientDisconnected notes that the client has closed its connection.
