Play the library's forms in the soak, and answers that trickle

Need: the library passes the same answers on through code of its own, and two of its faults were found by reading. Answers below 16 KiB at the client's time were hardly ever drawn.

TestSoak plays Balancer.Handler, and RoundTripper behind a reverse proxy, beside the two fronts. It draws answers of just over 64 KiB that trickle at 9 to 12 KB/s. Its judge reports an upload that is given up while the client is still sending, and counts the end of a broken answer from its server's last byte.

--- a/internal/fronttest/exchange_test.go
+++ b/internal/fronttest/exchange_test.go
@@ -19,6 +19,8 @@
 	lateLimit = 500 * time.Millisecond
 	// giveUpLimit bounds the wait for the end of an answer whose server has stopped in the middle.
 	giveUpLimit = 8 * time.Second
+	// atOnceLimit is how long a refusal at once takes at most.
+	atOnceLimit = 300 * time.Millisecond
 	// maxAnswer is the longest answer in bytes.
 	maxAnswer = 4 << 20
 	// scheduling is the allowance for delays of the machine.
@@ -41,6 +43,7 @@
 
 	startAt time.Time
 	sentAt  time.Time // last byte of the request; before it is written: zero
+	sentAll bool      // the client has written its whole request
 	left    bool      // the client closed its connection before the answer ended
 	firstAt time.Time // first byte of the answer; zero: none came
 	endAt   time.Time
@@ -73,17 +76,14 @@
 		defer func() { x.left = !leave.Stop() }()
 	}
 	c.SetDeadline(x.startAt.Add(x.wait + testTimeout + x.slowestRead()))
-	sent := make(chan time.Time, 1)
-	go func() {
-		x.write(c)
-		sent <- time.Now()
-	}()
+	written := make(chan bool, 1)
+	go func() { written <- x.write(c) }()
 	keep := x.read(r)
 	x.endAt = time.Now()
 	if x.status == 0 || x.status >= 300 { // the program need not read the rest
 		c.SetWriteDeadline(time.Now())
 	}
-	x.sentAt = <-sent
+	x.sentAll = <-written
 	return keep
 }
 
@@ -95,11 +95,12 @@
 	return time.Duration(maxAnswer/x.readRate) * time.Second
 }
 
-// write writes the request.
-func (x *exchange) write(c io.Writer) {
+// write writes the request, and reports whether it could write all of it.
+func (x *exchange) write(c io.Writer) bool {
+	defer func() { x.sentAt = time.Now() }()
 	io.WriteString(c, x.head())
 	if x.bodySize == 0 {
-		return
+		return true
 	}
 	const interval = 20 * time.Millisecond
 	part := x.bodySize
@@ -112,15 +113,17 @@
 			data = fmt.Sprintf("%x\r\n%s\r\n", len(data), data)
 		}
 		if _, err := io.WriteString(c, data); err != nil {
-			return
+			return false
 		}
 		if x.writeRate > 0 && left > part {
 			time.Sleep(interval)
 		}
 	}
 	if x.chunked {
-		io.WriteString(c, "0\r\n\r\n")
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
 	}
+	return true
 }
 
 // read reads the answer, and reports whether its connection can carry another request.
@@ -229,12 +232,15 @@
 		add("late: %d after %v", x.status, x.endAt.Sub(x.sentAt))
 	case x.status == http.StatusOK && x.firstAt.After(by.Add(lateLimit+scheduling)):
 		add("late: the first byte after %v", x.firstAt.Sub(x.sentAt))
-	case !x.whole && x.readRate == 0 && x.endAt.After(by.Add(giveUpLimit)):
+	case !x.whole && x.readRate == 0 && x.endAt.After(x.lastGiven(attempts, by).Add(giveUpLimit)):
 		add("late: the end of a broken answer after %v", x.endAt.Sub(x.sentAt))
 	}
 	if len(attempts) == 0 && x.bodySize == 0 && x.status == http.StatusServiceUnavailable {
 		add("refused before any attempt")
 	}
+	if x.status >= http.StatusInternalServerError && !x.sentAll && killed.IsZero() && plan.ending == endsInOrder && x.endAt.Sub(x.startAt) > atOnceLimit {
+		add("given up: status %d after %v, while the client was still sending", x.status, x.endAt.Sub(x.startAt).Round(time.Millisecond))
+	}
 	if x.status == 0 {
 		return broken
 	}
@@ -272,6 +278,16 @@
 	return broken
 }
 
+// lastGiven returns when a server last gave a byte of the answer, but no earlier than by.
+func (x *exchange) lastGiven(attempts []attemptRecord, by time.Time) time.Time {
+	for _, a := range attempts {
+		if n := len(a.writes); n > 0 && a.writes[n-1].at.After(by) {
+			by = a.writes[n-1].at
+		}
+	}
+	return by
+}
+
 // mustSurvive reports whether the request has to get the answer of another server because the first
 // one stopped for ever in the middle: it is safe to repeat, has 1.5 s of time, and the little that came
 // of the first answer need not have been passed on.
--- a/internal/fronttest/harness_test.go
+++ b/internal/fronttest/harness_test.go
@@ -61,7 +61,12 @@
 
 // onBothFronts runs a test on each front.
 func onBothFronts(t *testing.T, test func(t *testing.T, kind string)) {
-	for _, kind := range []string{platformFront, routesFront} {
+	onAll(t, []string{platformFront, routesFront}, test)
+}
+
+// onAll runs a test on each of several fronts.
+func onAll(t *testing.T, kinds []string, test func(t *testing.T, kind string)) {
+	for _, kind := range kinds {
 		t.Run(kind, func(t *testing.T) { test(t, kind) })
 	}
 }
--- a/internal/fronttest/soak_test.go
+++ b/internal/fronttest/soak_test.go
@@ -35,7 +35,7 @@
 // shapes of answers and clients and under signals, by the pages' rules alone. Each seed is one process.
 func TestSoak(t *testing.T) {
 	first, seeds := soakSetting("SOAK_FIRST", 1), soakSetting("SOAK_SEEDS", soakSeeds)
-	onBothFronts(t, func(t *testing.T, kind string) {
+	onAll(t, []string{platformFront, routesFront, handlerForm, transportForm}, func(t *testing.T, kind string) {
 		var mu sync.Mutex
 		kinds := map[string]int{}
 		played, perfect := 0, 0
@@ -90,7 +90,7 @@
 // play starts a process, plays all exchanges and events of the seed, and judges them.
 func (s *soakRun) play() {
 	s.fleet = startScriptedFleet(s.t, soakServers)
-	s.front = startFront(s.t, s.kind, options{servers: s.fleet.addrs, deadline: soakDeadline, stall: soakStall})
+	s.start(options{servers: s.fleet.addrs, deadline: soakDeadline, stall: soakStall})
 	s.begun = time.Now()
 	var wg sync.WaitGroup
 	for range soakExchanges {
@@ -109,6 +109,18 @@
 	s.judge()
 }
 
+// start starts the front.
+func (s *soakRun) start(o options) {
+	if s.inProcess() {
+		s.front = startLibrary(s.t, s.kind, o)
+	} else {
+		s.front = startFront(s.t, s.kind, o)
+	}
+}
+
+// inProcess reports whether the front is a form of the library in this process.
+func (s *soakRun) inProcess() bool { return s.kind == handlerForm || s.kind == transportForm }
+
 // crowd opens connections that stay idle.
 func (s *soakRun) crowd() {
 	const size = 200
@@ -122,6 +134,9 @@
 
 // signals sends the process a series of SIGHUP in some runs, and SIGTERM at the end of some.
 func (s *soakRun) signals() {
+	if s.inProcess() {
+		return
+	}
 	if s.rng.IntN(2) == 0 {
 		for range 1 + s.rng.IntN(4) {
 			time.Sleep(between(s.rng, 0, 400*time.Millisecond))
@@ -171,8 +186,8 @@
 func (s *soakRun) drawExchange() *exchange {
 	rng := s.rng
 	plan := drawPlan(rng)
-	x := &exchange{class: oneOf(rng, "read", "order", "pay"), wait: between(rng, 600*time.Millisecond, soakDeadline), buffered: s.kind == platformFront}
-	if s.kind == routesFront {
+	x := &exchange{class: oneOf(rng, "read", "order", "pay"), wait: between(rng, 600*time.Millisecond, soakDeadline), buffered: s.kind != routesFront}
+	if s.kind == routesFront || s.kind == transportForm { // they go by the deadline of the class
 		x.wait = soakDeadline
 	}
 	if x.class != "read" && rng.IntN(4) == 0 {
@@ -218,7 +233,7 @@
 		p.interim = 1 + rng.IntN(3)
 	}
 	quick := max(200_000, size) // bytes per second
-	switch rng.IntN(6) {
+	switch rng.IntN(7) {
 	case 0:
 		p.shape, p.pieces = "at once", []piece{{0, size}}
 	case 1:
@@ -231,6 +246,9 @@
 		p.shape, p.pieces, p.lastPause = "late end", []piece{{0, size}}, between(rng, 300*time.Millisecond, 900*time.Millisecond)
 	case 5:
 		p.shape, p.pieces = "quick", steady(size, quick)
+	case 6:
+		size = fullSize + 1 + rng.IntN(fullSize/8)
+		p.shape, p.pieces = "trickle", steady(size, 9000+rng.IntN(3000))
 	}
 	if size == 0 {
 		p.pieces = nil
