Leave no write deadline behind after a write to a slow peer

Need: found on reading the change. WriteWithin left the deadline of its last try, 0.1 s, on the connection. An interim response on a connection that had carried a streamed answer, which sets no deadline of its own, would fail with it.

A write that succeeds clears the deadline.

--- a/internal/sockets/progress.go
+++ b/internal/sockets/progress.go
@@ -14,8 +14,10 @@
 // steadily may let a write block for much longer: the kernel reports a socket as writable only once a
 // large part of its buffer is free, though it accepts bytes before. So a write that blocks is tried
 // again now and then. It ends by until at the latest, unless that is zero, and soon after abandon
-// reports that it is no longer wanted, unless that is nil. n is how much the kernel has accepted; an
-// error that wraps os.ErrDeadlineExceeded tells that a limit ran out, or that it was abandoned.
+// reports that it is no longer wanted, unless that is nil. If it succeeds, c has no write deadline.
+//
+// n is how many bytes the kernel has accepted. An error that wraps os.ErrDeadlineExceeded tells that a
+// limit ran out, or that the write was abandoned.
 func WriteWithin(c net.Conn, parts *net.Buffers, stall time.Duration, until time.Time, abandon func() bool) (n int64, err error) {
 	for progress := time.Now(); ; {
 		deadline := time.Now().Add(min(stall, writeRetry))
@@ -27,7 +29,11 @@
 		}
 		accepted, err := parts.WriteTo(c)
 		n += accepted
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if err == nil {
+			c.SetWriteDeadline(time.Time{})
+			return n, nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 		now := time.Now()
--- a/internal/sockets/progress_test.go
+++ b/internal/sockets/progress_test.go
@@ -62,3 +62,16 @@
 		t.Errorf("to a peer that reads nothing: %d bytes, %v after %v", n, err, after)
 	}
 }
+
+// TestWriteLeavesNoDeadline guards against a later write of another kind, such as an interim response,
+// that fails because of the deadline of a try.
+func TestWriteLeavesNoDeadline(t *testing.T) {
+	a, _ := connected(t)
+	if _, err := WriteWithin(a, &net.Buffers{[]byte("x")}, time.Second, time.Time{}, nil); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * writeRetry)
+	if _, err := a.Write([]byte("y")); err != nil {
+		t.Error(err)
+	}
+}
