Give each request of the daemon's benchmark an id of its own

Need: BenchmarkRequest has failed since ids are used once: its requests, which are not safe to repeat, all had the id 1, and the second one got 409.

The id counts up in place. The cost of the changes on answers was to be measured with it.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/binary"
+	"encoding/hex"
 	"net"
 	"strings"
 	"testing"
@@ -15,7 +17,7 @@
 func BenchmarkRequest(b *testing.B) {
 	answer := []byte(strings.ReplaceAll("HTTP/1.1 200 OK\nContent-Type: text/plain\nContent-Length: 1000\n\n", "\n", "\r\n") +
 		strings.Repeat("x", 1000))
-	request := []byte(strings.ReplaceAll("POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\n"+
+	request := []byte(strings.ReplaceAll("POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 0000000000000000\nX-Timeout-Ms: 9000\n"+
 		"Idempotency-Key: k\nX-Cost: 1000\nContent-Length: 200\n\n", "\n", "\r\n") + strings.Repeat("y", 200))
 	addr := startServer(b, func(_ int, c net.Conn) {
 		r := bufio.NewReader(c)
@@ -33,8 +35,12 @@
 	}
 	defer c.Close()
 	r := bufio.NewReader(c)
+	var idBytes [8]byte
+	id := bytes.Index(request, []byte("0000000000000000")) // an ID is used once
 	b.ReportAllocs()
-	for b.Loop() {
+	for n := uint64(1); b.Loop(); n++ {
+		binary.BigEndian.PutUint64(idBytes[:], n)
+		hex.Encode(request[id:], idBytes[:])
 		c.Write(request)
 		if ok, err := skipMessage(r); err != nil || !ok {
 			b.Fatalf("status is 200: %v, %v", ok, err)
