--- a/review/lib-2/platform.go
+++ b/review/lib-2/platform.go
@@ -312,3 +312,6 @@
 	a.Body, a.Err = io.ReadAll(r.Body)
 	return a
 }
+
+// writeText writes a file.
+func writeText(path, text string) error { return os.WriteFile(path, []byte(text), 0o644) }
