Review case 8: an upgrade runs requests under ids that are open elsewhere

Change: review/8 plays the platform's upgrade on one listening socket and sends requests under the ids of open ones, which the older process rejects and the newer one runs.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,7 +6,7 @@
 
 FLAG=true
 [ "$TROUBLE" = 1 ] || FLAG=false
-"$ROOT/bin/review2" retuned-order --root "$ROOT" --dir "$TMP" --record "$RECORD" --trouble="$FLAG" &
+"$ROOT/bin/review2" upgrade-ids --root "$ROOT" --dir "$TMP" --record "$RECORD" --trouble="$FLAG" &
 PIDS+=("$!")
 wait "$!"
 exit "$?"
