--- a/review/lib-2/case.sh
+++ b/review/lib-2/case.sh
@@ -6,6 +6,9 @@
 RECORD=$HERE/record.txt
 PIDS=()
 : >"$RECORD"
+for name in $(env | sed -n 's/^\(GW_[A-Z_]*\)=.*/\1/p'); do
+	unset "$name" # settings of the place where the case runs are not the case's
+done
 
 # cannot_run REASON ends the case with 2.
 cannot_run() {
