--- a/review/lib-2/platform.go
+++ b/review/lib-2/platform.go
@@ -58,20 +58,13 @@
 	BornMs int64   `json:"born_ms"`
 }
 
-// discovery is the discovery of PROTOCOL.md: whole lists, and watches with an empty line every 2 s.
+// discovery is the discovery of PROTOCOL.md with a list that does not change: whole lists, and watches with an empty line every 2 s.
 type discovery struct {
 	ln net.Listener
 
-	mu      sync.Mutex
-	seq     int64
-	hosts   []listed
-	changes []listed // changes[i] made the version i+1 above first
-	first   int64
-	changed chan struct{}
-	// silent watches say nothing any more; refuse says how many calls end with 503.
-	silenced chan struct{}
-	refuse   int
-	log      *record
+	seq   int64
+	hosts []listed
+	log   *record
 }
 
 func startDiscovery(log *record, hosts []listed) (*discovery, error) {
@@ -79,76 +72,28 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &discovery{ln: ln, seq: 41, first: 41, hosts: hosts, changed: make(chan struct{}), silenced: make(chan struct{}), log: log}
+	d := &discovery{ln: ln, seq: 41, hosts: hosts, log: log}
 	go http.Serve(ln, http.HandlerFunc(d.serve))
 	return d, nil
 }
 
-// change tells a new state of an upstream.
-func (d *discovery) change(l listed) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.seq++
-	d.changes = append(d.changes, l)
-	for i := range d.hosts {
-		if d.hosts[i].Host == l.Host {
-			d.hosts[i] = l
-		}
-	}
-	close(d.changed)
-	d.changed = make(chan struct{})
-}
-
-// silence makes the open watches fall silent, and the next calls end with 503.
-func (d *discovery) silence(refuse int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	close(d.silenced)
-	d.silenced, d.refuse = make(chan struct{}), refuse
-}
-
 func (d *discovery) serve(w http.ResponseWriter, q *http.Request) {
-	d.mu.Lock()
-	silenced := d.silenced
-	if d.refuse > 0 {
-		d.refuse--
-		d.mu.Unlock()
-		d.log.note("discovery: %s of %s: 503", q.URL, q.RemoteAddr)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	d.mu.Unlock()
 	d.log.note("discovery: %s of %s", q.URL, q.RemoteAddr)
-	since, err := strconv.ParseInt(q.URL.Query().Get("since"), 10, 64)
+	message := object{"seq": d.seq, "whole": true, "hosts": d.hosts}
+	if since, err := strconv.ParseInt(q.URL.Query().Get("since"), 10, 64); err == nil && since == d.seq {
+		message = object{"seq": d.seq, "whole": false, "hosts": []listed{}}
+	}
+	b, _ := json.Marshal(message)
+	w.Write(append(b, '\n'))
 	tick := time.NewTicker(2 * time.Second)
 	defer tick.Stop()
-	for first := true; ; first = false {
-		d.mu.Lock()
-		message := object{"seq": d.seq, "whole": true, "hosts": d.hosts}
-		if err == nil && since >= d.first && since <= d.seq {
-			message = object{"seq": d.seq, "whole": false, "hosts": append([]listed{}, d.changes[since-d.first:]...)}
-		}
-		news, seq := d.changed, d.seq
-		b, _ := json.Marshal(message)
-		d.mu.Unlock()
-		if first || seq != since || err != nil {
-			w.Write(append(b, '\n'))
-			since, err = seq, nil
-		}
-		if q.URL.Query().Get("follow") != "1" {
-			return
-		}
+	for q.URL.Query().Get("follow") == "1" {
 		w.(http.Flusher).Flush()
 		select {
-		case <-news:
-		case <-silenced:
-			<-q.Context().Done()
-			return
 		case <-q.Context().Done():
 			return
 		case <-tick.C:
 			io.WriteString(w, "\n")
-			w.(http.Flusher).Flush()
 		}
 	}
 }
@@ -312,6 +257,3 @@
 	a.Body, a.Err = io.ReadAll(r.Body)
 	return a
 }
-
-// writeText writes a file.
-func writeText(path, text string) error { return os.WriteFile(path, []byte(text), 0o644) }
