--- a/review/lib-2/slow_bodies.go
+++ b/review/lib-2/slow_bodies.go
@@ -18,11 +18,11 @@
 
 func init() { commands["slow-bodies"] = slowBodies }
 
-// soundServer answers requests as PROTOCOL.md has it, after a time of work, and counts those that it has run.
+// soundServer answers requests as PROTOCOL.md has it, after a time of work, and counts those that it has run: orders, and long bodies.
 type soundServer struct {
-	ln   net.Listener
-	work time.Duration
-	ran  atomic.Int64
+	ln           net.Listener
+	work         time.Duration
+	orders, long atomic.Int64
 }
 
 func startSoundServer(work time.Duration) (*soundServer, error) {
@@ -51,7 +51,11 @@
 		return
 	}
 	time.Sleep(s.work)
-	s.ran.Add(1)
+	if id := q.Header.Get("X-Request-ID"); strings.HasPrefix(id, "long-") {
+		s.long.Add(1)
+	} else {
+		s.orders.Add(1)
+	}
 	fmt.Fprintf(w, "done %s\n", q.Header.Get("X-Request-ID"))
 }
 
@@ -71,9 +75,9 @@
 	}
 	defer killAll()
 	const (
-		slow      = 32      // clients with long bodies
-		length    = 1 << 20 // of such a body
-		rate      = 64_000  // bytes a second
+		slow      = 32       // clients with long bodies
+		length    = 1 << 20  // of such a body
+		rate      = 64 << 10 // bytes a second, not less than the 64 kB of the page
 		timeout   = 1250 * time.Millisecond
 		bound     = timeout + 500*time.Millisecond + 50*time.Millisecond
 		perSecond = 20
@@ -118,13 +122,14 @@
 			defer c.Close()
 			fmt.Fprintf(c, "POST /delivery-order/%x HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: long-%d\r\nX-Timeout-Ms: 1250\r\nIdempotency-Key: long-%d\r\nContent-Length: %d\r\n\r\n", i, i, i, length)
 			part := []byte(strings.Repeat("x", rate/20))
+			bodyAt := time.Now()
 			for sent := 0; sent < length; sent += len(part) {
+				if *trouble { // the first part is sent ahead, so that the rate is never below rate
+					time.Sleep(time.Until(bodyAt.Add(time.Duration(sent) * time.Second / rate)))
+				}
 				if _, err := c.Write(part[:min(len(part), length-sent)]); err != nil {
 					break
 				}
-				if *trouble {
-					time.Sleep(time.Second / 20)
-				}
 			}
 			sentAt := time.Now()
 			c.SetReadDeadline(time.Now().Add(5 * time.Second))
@@ -133,7 +138,7 @@
 			if err == nil {
 				status = r.StatusCode
 			}
-			rec.note("long body %d: status %d, err %v, %v after its last byte", i, status, err, time.Since(sentAt).Round(time.Millisecond))
+			rec.note("long body %d: sent in %v, status %d, err %v, %v after its last byte", i, sentAt.Sub(bodyAt).Round(time.Millisecond), status, err, time.Since(sentAt).Round(time.Millisecond))
 		})
 	}
 	time.Sleep(2500*time.Millisecond - time.Since(begun))
@@ -159,11 +164,13 @@
 		})
 	}
 	orders.Wait()
-	ran := int64(0)
+	uploads.Wait()
+	ran, long := int64(0), int64(0)
 	for _, s := range servers {
-		ran += s.ran.Load()
+		ran += s.orders.Load()
+		long += s.long.Load()
 	}
-	rec.result("orders=%d served=%d refused=%d failed=%d without_answer_%v_after_sending=%d run_by_servers=%d", int(measured.Seconds()*perSecond), answered.Load(), refused.Load(), failed.Load(), bound, lost.Load(), ran)
+	rec.result("long_bodies=%d of %d bytes, run_by_servers=%d; orders=%d served=%d refused=%d failed=%d without_answer_%v_after_sending=%d run_by_servers=%d", slow, length, long, int(measured.Seconds()*perSecond), answered.Load(), refused.Load(), failed.Load(), bound, lost.Load(), ran)
 	if lost.Load() > 0 {
 		return 1
 	}
