--- a/review/lib-2/convert.go
+++ b/review/lib-2/convert.go
@@ -95,7 +95,7 @@
 	to := flags.String("to", "", "")
 	clients := flags.Int("clients", 20, "")
 	length := flags.Duration("for", 4*time.Second, "")
-	pause := flags.Duration("pause", 0, "how long a client reads nothing, from half a second on")
+	rate := flags.Int("rate", 2<<20, "bytes of the answer that a client takes a second")
 	record := flags.String("record", "", "")
 	flags.Parse(args)
 	out, err := os.OpenFile(*record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
@@ -107,7 +107,7 @@
 	answers := make([]convertAnswer, *clients)
 	var all sync.WaitGroup
 	for i := range answers {
-		all.Go(func() { answers[i] = convertOnce(i, *to, *length, *pause) })
+		all.Go(func() { answers[i] = convertOnce(i, *to, *length, *rate) })
 	}
 	all.Wait()
 	served, broken, cut, whole := 0, 0, 0, 0
@@ -136,7 +136,7 @@
 	return 0
 }
 
-func convertOnce(n int, to string, length, pause time.Duration) convertAnswer {
+func convertOnce(n int, to string, length time.Duration, rate int) convertAnswer {
 	a := convertAnswer{Client: n}
 	c, err := net.DialTimeout("tcp", to, time.Second)
 	if err != nil {
@@ -164,18 +164,16 @@
 			a.SentAll = true
 		}
 	})
-	c.SetReadDeadline(time.Now().Add(length + 10*time.Second))
+	c.SetReadDeadline(time.Now().Add(length + 60*time.Second))
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		a.Error = err.Error()
 	} else {
 		a.Status = r.StatusCode
 		lines := bufio.NewReader(r.Body)
-		for pauseAt := time.Now().Add(500 * time.Millisecond); ; {
-			if pause > 0 && time.Now().After(pauseAt) {
-				time.Sleep(pause)
-				pause = 0
-			}
+		begun, taken := time.Now(), 0
+		for {
+			time.Sleep(time.Until(begun.Add(time.Duration(taken) * time.Second / time.Duration(rate))))
 			line, err := lines.ReadString('\n')
 			if err != nil {
 				if a.Whole = err == io.EOF; !a.Whole {
@@ -184,6 +182,7 @@
 				break
 			}
 			a.Lines++
+			taken += len(line)
 			if strings.HasPrefix(line, "END ") {
 				a.End = strings.TrimSpace(line)
 			}
