--- a/review/lib-2/upgrade_ids.go
+++ b/review/lib-2/upgrade_ids.go
@@ -179,12 +179,12 @@
 			}
 		})
 	}
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(20 * time.Millisecond) // their requests are taken
 	if *trouble {
 		rec.note("SIGTERM to the older process")
 		older.signal(syscall.SIGTERM)
 	}
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
 	for i := range requests {
 		all.Go(func() {
 			c, err := net.Dial("tcp", addr)
