Serve requests while slow clients hold the memory for bodies

Cause: a body reserved its whole length before its first byte and held it while its client sent, and whatever found no memory waited for up to 2 s (in the library without end), outside of the request's time.

internal/bodybudget owns the limit now. A remembered order, which its body identifies, waits for a quarter of its time, which counts. The library had the same wait and uses the same budget.

--- a/balancer.go
+++ b/balancer.go
@@ -41,6 +41,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"quillfront/internal/bodybudget"
 	"quillfront/internal/engine"
 	"quillfront/internal/httpmsg"
 	"quillfront/internal/orders"
@@ -142,7 +143,7 @@
 	coordinator  *orders.Coordinator // nil without WithOrders
 	transport    *upstream.Transport
 	sockets      *sockets.Budget
-	bodyBudget   *semaphore.Weighted // limits the memory for bodies, in bytes
+	bodyBudget   *bodybudget.Budget  // limits the memory for bodies, in bytes
 	requestSlots *semaphore.Weighted // limits the open requests
 	log          *slog.Logger
 }
@@ -191,7 +192,7 @@
 	}
 	b := &Balancer{
 		sockets:    sockets.New(p.limits.Connections + sockets.Reserved),
-		bodyBudget: semaphore.NewWeighted(p.limits.BodyBytes), requestSlots: semaphore.NewWeighted(int64(p.limits.Requests)),
+		bodyBudget: bodybudget.New(p.limits.BodyBytes), requestSlots: semaphore.NewWeighted(int64(p.limits.Requests)),
 		log: o.log,
 	}
 	b.transport = upstream.New(p.settings, b.sockets, o.log)
--- a/config.go
+++ b/config.go
@@ -63,7 +63,8 @@
 	// least 16.
 	Connections int
 	// BodyBytes limits the memory for the bodies of open requests; default 16 MiB, at least
-	// 64 KiB. A single body takes up at most 64 KiB of it.
+	// 64 KiB. A single body takes up at most 64 KiB of it. A body that finds no free memory is sent
+	// as it is read, so that the request cannot be sent again.
 	BodyBytes   int64
 	DialTimeout time.Duration // connect timeout; default 250 ms
 	IdleTimeout time.Duration // time after which servers close an idle connection; default 15 s
--- a/http.go
+++ b/http.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"quillfront/internal/bodybudget"
 	"quillfront/internal/engine"
 	"quillfront/internal/httpcall"
 	"quillfront/internal/httpmsg"
@@ -43,7 +44,7 @@
 	m.HeaderLines = httpmsg.Field{Name: []byte("X-Request-ID"), Value: []byte(call.ID)}.Append(nil)
 	m.HeaderLines = httpmsg.AppendHeader(m.HeaderLines, header, omitHeader)
 	r.Payload = m
-	release, more, err := b.readBody(ctx, call, m, body)
+	release, more, err := b.readBody(ctx, call, m, body, r.Timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -114,7 +115,7 @@
 // submit passes a request to the order store if it has an Idempotency-Key and the Balancer stores
 // orders, and to the engine otherwise.
 func (b *Balancer) submit(r *engine.Request, call *httpcall.Call, m *httpmsg.Message) error {
-	if b.coordinator == nil || call.IdempotencyKey == "" {
+	if !b.isOrder(call) {
 		return b.engine.Submit(r, b.engine.Now())
 	}
 	now := b.engine.Now()
@@ -159,41 +160,72 @@
 	return strings.EqualFold(name, "Host") || strings.EqualFold(name, "X-Timeout-Ms") || strings.EqualFold(name, "X-Request-ID")
 }
 
-// readBody waits for free memory and reads the body into m. Of a body longer than
-// httpmsg.MaxFullBody it reads only the start; more is then the rest. release frees the memory.
-func (b *Balancer) readBody(ctx context.Context, call *httpcall.Call, m *httpmsg.Message, body io.Reader) (release func(), more io.Reader, err error) {
+// orderBodyWaitDivisor sets how long an order may wait for the memory that it needs: its timeout divided
+// by orderBodyWaitDivisor.
+const orderBodyWaitDivisor = 4
+
+// isOrder reports whether a call goes to the coordinator of orders.
+func (b *Balancer) isOrder(call *httpcall.Call) bool {
+	return b.coordinator != nil && call.IdempotencyKey != ""
+}
+
+// reserveBody reserves memory for the start of a body of up to httpmsg.MaxFullBody bytes, or none if
+// there is none. An order needs the start of its body, which identifies it, and may wait for memory,
+// but only for a part of its time.
+func (b *Balancer) reserveBody(ctx context.Context, call *httpcall.Call, timeout time.Duration) (bodybudget.Reservation, error) {
+	memory := b.bodyBudget.Reserve(call.Length, httpmsg.MaxFullBody)
+	if memory.Bytes > 0 || !b.isOrder(call) {
+		return memory, nil
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, timeout/orderBodyWaitDivisor)
+	defer cancel()
+	memory, err := b.bodyBudget.AwaitStart(waitCtx, call.Length)
+	if err != nil && ctx.Err() == nil {
+		return memory, &RefusedError{}
+	}
+	return memory, err
+}
+
+// readBody reads the start of the body into m, as far as there is memory for it. more is the rest,
+// which may be all of it, or nil if there is none. release frees the memory. timeout is that of the
+// request.
+func (b *Balancer) readBody(ctx context.Context, call *httpcall.Call, m *httpmsg.Message, body io.Reader, timeout time.Duration) (release func(), more io.Reader, err error) {
 	if call.Length > httpmsg.MaxBody {
 		return nil, nil, errTooLong
 	}
 	if call.Length == 0 || body == nil {
 		return func() {}, nil, nil
 	}
-	n := call.Length
-	if n < 0 || n > httpmsg.MaxFullBody {
-		n = httpmsg.MaxFullBody
-	}
-	if err := b.bodyBudget.Acquire(ctx, n); err != nil {
-		return nil, nil, context.Cause(ctx)
+	memory, err := b.reserveBody(ctx, call, timeout)
+	if err != nil {
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
+		return nil, nil, err
 	}
 	succeeded := false
 	defer func() { // also runs if the body's Read panics
 		if !succeeded {
-			b.bodyBudget.Release(n)
+			memory.Release()
 		}
 	}()
-	known := call.Length >= 0
-	if known {
+	n, known := memory.Bytes, call.Length >= 0
+	switch {
+	case n == 0: // all of the body is sent as it arrives
+	case known:
 		m.Body = make([]byte, n, n+1)
 		if got, err := io.ReadFull(body, m.Body); errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 			return nil, nil, shortBodyError(int64(got), call.Length)
 		} else if err != nil {
 			return nil, nil, err
 		}
-	} else if m.Body, err = io.ReadAll(io.LimitReader(body, n)); err != nil {
-		return nil, nil, err
+	default:
+		if m.Body, err = io.ReadAll(io.LimitReader(body, n)); err != nil {
+			return nil, nil, err
+		}
 	}
 	rest := &boundedBody{r: body, size: int64(len(m.Body)), length: call.Length}
-	if known && call.Length > n {
+	if known && call.Length > n || n == 0 {
 		more = rest
 	} else if int64(len(m.Body)) == n { // only a further read shows whether there is more
 		var next [1]byte
@@ -205,7 +237,7 @@
 		}
 	}
 	succeeded = true
-	return func() { b.bodyBudget.Release(n) }, more, nil
+	return memory.Release, more, nil
 }
 
 // errTooLong is the error for a body above the maximum length.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,9 +15,8 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"quillfront/internal/account"
+	"quillfront/internal/bodybudget"
 	"quillfront/internal/config"
 	"quillfront/internal/discovery"
 	"quillfront/internal/engine"
@@ -50,7 +49,7 @@
 	services   *services.Services
 	peers      *membership // nil: there are no other processes
 	sockets    *sockets.Budget
-	bodyBudget *semaphore.Weighted // memory for request bodies
+	bodyBudget *bodybudget.Budget // memory for request bodies
 
 	handoverDir    *handover.Dir // nil: there is no other process to hand over to
 	serving        atomic.Bool   // clients are accepted
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -19,14 +19,14 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
+	"quillfront/internal/bodybudget"
 	"quillfront/internal/engine"
 	"quillfront/internal/httpcall"
 	"quillfront/internal/httpmsg"
 	"quillfront/internal/orders"
 	"quillfront/internal/shutdown"
 	"quillfront/internal/sockets"
+	"quillfront/policy"
 )
 
 const (
@@ -50,6 +50,9 @@
 	// maxBufferedBody is the longest body that is buffered whole if there is memory for it. Such
 	// a request can be sent again.
 	maxBufferedBody = 1 << 20
+	// orderBodyWaitDivisor sets how long an order may wait for the memory that it needs: its timeout
+	// divided by orderBodyWaitDivisor.
+	orderBodyWaitDivisor = 4
 	// idleTimeout limits how long a client connection may be idle; clients are promised 2 s. It
 	// ends the connections of clients that send one request and never close. A client that sends
 	// requests less often has to open a new connection for each.
@@ -84,11 +87,10 @@
 	maxScratch = 4 << 10
 )
 
-// NewBodyBudget returns a semaphore that limits the memory for request bodies, in bytes. The
-// whole length of a body is reserved before it is read. However many clients send at once, their
-// bodies use a fixed share of the memory, and the data of the others waits in the kernel.
-func NewBodyBudget(memoryMB int) *semaphore.Weighted {
-	return semaphore.NewWeighted(max(int64(memoryMB)<<20/bodyMemoryDivisor, httpmsg.MaxFullBody))
+// NewBodyBudget returns the budget of memory for request bodies. However many clients send at once,
+// their bodies use a fixed share of the memory.
+func NewBodyBudget(memoryMB int) *bodybudget.Budget {
+	return bodybudget.New(int64(memoryMB) << 20 / bodyMemoryDivisor)
 }
 
 // Server serves client connections. It parses requests itself because net/http's server does not
@@ -96,7 +98,7 @@
 // connection that may have to be evicted.
 type Server struct {
 	engine           *engine.Engine
-	bodyBudget       *semaphore.Weighted
+	bodyBudget       *bodybudget.Budget
 	proxy            *ProxyConfig // nil: the server uses the sidecar protocol
 	limits           connLimits
 	sockets          *sockets.Budget
@@ -122,7 +124,7 @@
 
 // New returns a server for the sidecar protocol. It takes descriptors from b and reserves memory
 // for bodies in budget. Requests with an idempotency key pass through coordinator unless it is nil.
-func New(e *engine.Engine, coordinator *orders.Coordinator, budget *semaphore.Weighted, b *sockets.Budget, log *slog.Logger) *Server {
+func New(e *engine.Engine, coordinator *orders.Coordinator, budget *bodybudget.Budget, b *sockets.Budget, log *slog.Logger) *Server {
 	s := newServer(b, log)
 	s.engine, s.orderCoordinator, s.bodyBudget = e, coordinator, budget
 	s.limits = connLimits{maxHead: maxRequestHead, headTimeout: headTimeout, idleTimeout: idleTimeout, keepAliveLine: keepAliveLine, bodyStallTimeout: bodyStallTimeout, minBodyRate: minBodyRate, streamTimeout: streamTimeout}
@@ -487,13 +489,14 @@
 	}
 	r.Payload, r.SingleUseID = m, true
 	c.head.Discard(c.r)
-	if err := s.readBody(c, r, m, call.Length, expects); err != nil {
+	receivedAt, err := s.readBody(c, r, &call, m, expects)
+	if err != nil {
 		return nil, connClose, nil, err
 	}
 	if m.Upload == nil && c.r.Buffered() > 0 {
 		err = errPipelined
 	} else if err = s.admit(c, s.engine, r); err == nil {
-		err = s.submit(r, &call, m)
+		err = s.submit(r, &call, m, receivedAt)
 	}
 	if errors.Is(err, engine.ErrDuplicateID) {
 		err = httpcall.Rejection{Status: http.StatusConflict, Text: "a request with this X-Request-ID is open, or may have run"}
@@ -518,14 +521,18 @@
 	return c.peek.PeerClosed()
 }
 
-// submit passes a request to the coordinator of orders, if there is one and the request has an
-// idempotency key, and otherwise to the engine.
-func (s *Server) submit(r *engine.Request, call *httpcall.Call, m *httpmsg.Message) error {
-	if s.orderCoordinator == nil || call.IdempotencyKey == "" {
-		return s.engine.Submit(r, s.engine.Now())
+// isOrder reports whether a request goes to the coordinator of orders.
+func (s *Server) isOrder(call *httpcall.Call) bool {
+	return s.orderCoordinator != nil && call.IdempotencyKey != ""
+}
+
+// submit passes a request to the coordinator of orders if it is one, and otherwise to the engine. Its
+// timeout runs from receivedAt.
+func (s *Server) submit(r *engine.Request, call *httpcall.Call, m *httpmsg.Message, receivedAt policy.Time) error {
+	if !s.isOrder(call) {
+		return s.engine.Submit(r, receivedAt)
 	}
-	read := s.engine.Now()
-	return s.orderCoordinator.Submit(r, orders.Identity{Key: call.IdempotencyKey, Fingerprint: call.Fingerprint(m.Body)}, read)
+	return s.orderCoordinator.Submit(r, orders.Identity{Key: call.IdempotencyKey, Fingerprint: call.Fingerprint(m.Body)}, receivedAt)
 }
 
 // methodName returns the method as a string, without an allocation for the methods of the
@@ -704,49 +711,68 @@
 	}
 }
 
-// readBody waits for body memory and then reads the body. Of a long body it reads only the first
-// part; the rest is an httpmsg.Upload.
-func (s *Server) readBody(c *clientConn, r *engine.Request, m *httpmsg.Message, length int64, expects bool) error {
-	tooLong := httpcall.Rejection{Status: http.StatusRequestEntityTooLarge, Text: httpmsg.ErrBodyTooLong.Error()}
+// readBody reads the body, as far as there is memory for it and it is no longer than maxBufferedBody.
+// The rest, which may be all of it, is an httpmsg.Upload. An order needs memory for the start of its
+// body, which identifies it, and may wait for that. readBody returns the time from which the request's
+// timeout counts: that of the wait if the client had sent the body by then, and else now.
+func (s *Server) readBody(c *clientConn, r *engine.Request, call *httpcall.Call, m *httpmsg.Message, expects bool) (receivedAt policy.Time, err error) {
+	length := call.Length
 	if length > httpmsg.MaxBody {
-		return tooLong
+		return 0, httpcall.Rejection{Status: http.StatusRequestEntityTooLarge, Text: httpmsg.ErrBodyTooLong.Error()}
 	}
 	if length == 0 {
-		return nil
-	}
-	n := length
-	if n < 0 || n > httpmsg.MaxFullBody && (n > maxBufferedBody || !s.bodyBudget.TryAcquire(n)) {
-		n = httpmsg.MaxFullBody // the rest is streamed to the server
-	}
-	until := time.Now().Add(bodyTimeout)
-	if n <= httpmsg.MaxFullBody && !s.bodyBudget.TryAcquire(n) {
-		ctx, cancel := context.WithDeadline(s.answerCtx, until)
-		defer cancel()
-		if s.bodyBudget.Acquire(ctx, n) != nil {
-			return httpcall.Rejection{Status: http.StatusServiceUnavailable, Text: "no room for the body"}
+		return s.engine.Now(), nil
+	}
+	begunAt, until := s.engine.Now(), time.Now().Add(bodyTimeout)
+	memory := s.bodyBudget.Reserve(length, maxBufferedBody)
+	waited := memory.Bytes == 0 && s.isOrder(call)
+	if waited {
+		if memory, err = s.awaitOrderMemory(r, length); err != nil {
+			return 0, err
 		}
 	}
-	r.Release = func() { s.bodyBudget.Release(n) }
+	r.Release = memory.Release
 	c.SetReadDeadline(until)
 	if expects && c.r.Buffered() == 0 {
 		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	c.body.Reset(c.r, length, length < 0)
-	var err error
-	if n <= httpmsg.MaxFullBody {
+	c.readWaited = false
+	if waited {
+		c.uploadPeek = sockets.NewPeeker(c.Conn)
+	}
+	switch n := memory.Bytes; {
+	case n == 0: // all of the body is an Upload
+	case n <= httpmsg.MaxFullBody:
 		m.Body, err = c.body.ReadUpTo(n)
-	} else {
+	default:
 		m.Body = make([]byte, n)
 		_, err = io.ReadFull(s.newMinRateReader(c, 0, length), m.Body)
 	}
+	c.uploadPeek = nil
 	if err != nil {
 		r.Release()
-		return bodyError(err)
+		return 0, bodyError(err)
 	}
 	if !c.body.Ended() {
-		m.Upload, m.Length, r.Uploading = httpmsg.NewUpload(s.newMinRateReader(c, n, length)), length, true
+		m.Upload, m.Length, r.Uploading = httpmsg.NewUpload(s.newMinRateReader(c, c.body.Size(), length)), length, true
 	}
-	return nil
+	if waited && !c.readWaited {
+		return begunAt, nil
+	}
+	return s.engine.Now(), nil
+}
+
+// awaitOrderMemory waits for the memory that an order with a body of the given length needs, but only
+// for a part of the order's time, so that it can still be served or refused in time.
+func (s *Server) awaitOrderMemory(r *engine.Request, length int64) (bodybudget.Reservation, error) {
+	ctx, cancel := context.WithTimeout(s.answerCtx, min(bodyTimeout, r.Timeout/orderBodyWaitDivisor))
+	defer cancel()
+	memory, err := s.bodyBudget.AwaitStart(ctx, length)
+	if err != nil {
+		return memory, httpcall.Rejection{Status: http.StatusServiceUnavailable, Text: "no room for the body"}
+	}
+	return memory, nil
 }
 
 // bodyError returns the error with which a request is rejected after reading its body has failed
