Share the request ids in use between the processes of an upgrade

Cause: each process knew only the ids of its own requests. A request claims its id before it is passed on and gives it back at its end, or leaves it for 30 s as one that may have run.

--- a/cmd/quillfront/upgrade_test.go
+++ b/cmd/quillfront/upgrade_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -216,71 +217,131 @@
 	}
 }
 
-// TestIDComesAgainAtOtherProcess guards against a request that runs twice because its client left one
-// process of an upgrade and sends it again, under the same ID, to the other one.
-func TestIDComesAgainAtOtherProcess(t *testing.T) {
-	const requests = 40
-	var mu sync.Mutex
-	runs := map[string]int{}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+// idServer answers after a time of work, and counts the runs of each ID.
+type idServer struct {
+	*httptest.Server
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func startIDServer(t *testing.T, work time.Duration) *idServer {
+	s := &idServer{runs: map[string]int{}}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		io.Copy(io.Discard, q.Body)
-		mu.Lock()
-		runs[q.Header.Get("X-Request-ID")]++
-		mu.Unlock()
-		time.Sleep(300 * time.Millisecond)
+		s.mu.Lock()
+		s.runs[q.Header.Get("X-Request-ID")]++
+		s.mu.Unlock()
+		time.Sleep(work)
 		io.WriteString(w, "ok")
 	}))
-	defer server.Close()
+	t.Cleanup(s.Close)
+	return s
+}
+
+// checkRuns reports an error if IDs ran twice, or fewer than wanted ran at all.
+func (s *idServer) checkRuns(t *testing.T, wanted int) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	twice := 0
+	for _, n := range s.runs {
+		if n > 1 {
+			twice++
+		}
+	}
+	if twice > 0 || len(s.runs) < wanted {
+		t.Errorf("%d of %d IDs ran twice", twice, len(s.runs))
+	}
+}
+
+// startTwoProcesses starts two processes of one sidecar that accept on the same socket. It returns the
+// socket's address.
+func startTwoProcesses(t *testing.T, serverAddr, effect string) (addr string) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
+	t.Cleanup(func() { ln.Close() })
 	f, err := ln.(*net.TCPListener).File()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
+	t.Cleanup(func() { f.Close() })
 	tmp := t.TempDir()
-	config := strings.Replace(platformConfig(ln.Addr().String(), server.Listener.Addr().String()), `"read_like"`, `"non_idempotent"`, 1)
-	startProcess := func() *process {
+	config := strings.Replace(platformConfig(ln.Addr().String(), serverAddr), `"read_like"`, strconv.Quote(effect), 1)
+	for range 2 {
 		cmd := sidecarCommand(t, config)
 		cmd.ExtraFiles = append(cmd.ExtraFiles, f)
 		cmd.Env = append(cmd.Env, "GW_ACCEPT_FD=3", "GW_MANAGEMENT=127.0.0.1:0", "TMPDIR="+tmp)
-		return startCommand(t, cmd)
+		startCommand(t, cmd)
 	}
-	send := func(id string, wait time.Duration) {
-		c, err := net.Dial("tcp", ln.Addr().String())
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		defer c.Close()
-		c.SetDeadline(time.Now().Add(wait))
-		fmt.Fprintf(c, "POST /read/k HTTP/1.1\r\nHost: s\r\nX-Request-ID: %s\r\nContent-Length: 0\r\n\r\n", id)
-		http.ReadResponse(bufio.NewReader(c), nil)
+	return ln.Addr().String()
+}
+
+// sendID sends a request on a new connection and returns the status; 0: there was none within wait.
+func sendID(t *testing.T, addr, method, id string, wait time.Duration) int {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(wait))
+	fmt.Fprintf(c, "%s /read/k HTTP/1.1\r\nHost: s\r\nX-Request-ID: %s\r\nContent-Length: 0\r\n\r\n", method, id)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
 	}
-	startProcess()
-	startProcess() // both accept from now on
+	return resp.StatusCode
+}
+
+// TestIDComesAgainAtOtherProcess guards against a request that runs twice because its client left one
+// process of an upgrade and sends it again, under the same ID, to the other one.
+func TestIDComesAgainAtOtherProcess(t *testing.T) {
+	const requests = 40
+	server := startIDServer(t, 300*time.Millisecond)
+	addr := startTwoProcesses(t, server.Listener.Addr().String(), "non_idempotent")
 	var clients sync.WaitGroup
 	for i := range requests {
 		clients.Go(func() {
 			for range 4 { // at one process or the other
-				send(fmt.Sprint("u", i), 100*time.Millisecond)
+				sendID(t, addr, http.MethodPost, fmt.Sprint("u", i), 100*time.Millisecond)
 			}
 		})
 	}
 	clients.Wait()
 	time.Sleep(500 * time.Millisecond)
-	mu.Lock()
-	defer mu.Unlock()
-	twice := 0
-	for _, n := range runs {
-		if n > 1 {
-			twice++
-		}
+	server.checkRuns(t, requests/2)
+}
+
+// TestOpenIDAtOtherProcess guards against a client that is served under the ID of another client's
+// request, which is open at the other process of an upgrade.
+func TestOpenIDAtOtherProcess(t *testing.T) {
+	const requests = 40
+	server := startIDServer(t, 800*time.Millisecond)
+	addr := startTwoProcesses(t, server.Listener.Addr().String(), "read_like")
+	var clients sync.WaitGroup
+	var served atomic.Int32
+	for i := range requests {
+		id := fmt.Sprint("open", i)
+		clients.Go(func() {
+			if sendID(t, addr, http.MethodGet, id, 10*time.Second) == http.StatusOK {
+				served.Add(1)
+			}
+		})
+		clients.Go(func() {
+			time.Sleep(300 * time.Millisecond)
+			for range 3 { // at one process or the other
+				if status := sendID(t, addr, http.MethodGet, id, 10*time.Second); status != http.StatusConflict {
+					t.Errorf("status %d under the ID of an open request", status)
+				}
+			}
+		})
 	}
-	if twice > 0 || len(runs) < requests/2 {
-		t.Errorf("%d of %d IDs ran twice", twice, len(runs))
+	clients.Wait()
+	if n := served.Load(); n < requests {
+		t.Errorf("%d of %d usual requests were served", n, requests)
 	}
+	server.checkRuns(t, requests)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,11 +52,12 @@
 	bodyBudget *bodybudget.Budget // memory for request bodies
 
 	handoverDir    *handover.Dir // nil: there is no other process to hand over to
-	serving        atomic.Bool   // clients are accepted
-	startedAt      time.Time     // start of this process
-	takeover       bool          // this process takes over from an older one
-	newerProcesses atomic.Int32  // number of live newer processes of this sidecar
-	updateMu       sync.Mutex    // serializes changes by operators
+	requestIDs     *handover.RequestIDs
+	serving        atomic.Bool  // clients are accepted
+	startedAt      time.Time    // start of this process
+	takeover       bool         // this process takes over from an older one
+	newerProcesses atomic.Int32 // number of live newer processes of this sidecar
+	updateMu       sync.Mutex   // serializes changes by operators
 
 	deadlines  deadlineHistory
 	shutdownMu sync.Mutex
@@ -137,6 +138,10 @@
 			s.close()
 			return nil, err
 		}
+		if err := s.shareRequestIDs(); err != nil {
+			s.close()
+			return nil, err
+		}
 		s.applyOperatorState(s.handoverDir.State())
 		others, err := s.handoverDir.CountOthers()
 		if err != nil {
@@ -166,6 +171,17 @@
 	return s, nil
 }
 
+// shareRequestIDs makes the processes of this sidecar know which request IDs the others use.
+func (s *Sidecar) shareRequestIDs() (err error) {
+	s.requestIDs, err = s.handoverDir.OpenRequestIDs(engine.SpentIDLifetime, func(err error) {
+		s.log.Error("other processes no longer know the IDs of requests here", "err", err)
+	})
+	if err == nil {
+		s.engine.ShareIDs(s.requestIDs)
+	}
+	return err
+}
+
 // discoveryClient returns a client for the discovery service configured in cfg.
 func discoveryClient(cfg config.Config) discovery.Client {
 	return discovery.Client{Addr: cfg.Discovery, LocalAgent: cfg.Settings.Config.ListPushed}
@@ -394,6 +410,9 @@
 	}
 	s.engine.Close()
 	s.transport.Close()
+	if s.requestIDs != nil {
+		s.requestIDs.Close()
+	}
 	if s.handoverDir != nil {
 		s.handoverDir.Close()
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,7 +15,6 @@
 	"fmt"
 	"log/slog"
 	"maps"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +24,6 @@
 	"quillfront/exclusion"
 	"quillfront/internal/sitewatch"
 	"quillfront/policy"
-	"quillfront/reconfig"
 	"quillfront/sites"
 )
 
@@ -124,6 +122,7 @@
 	requests         map[policy.RequestID]*Request // open, or ended with attempts still in flight
 	openByExternalID map[string]*Request           // open requests by ExternalID
 	spent            spentIDs                      // IDs of requests that may have run
+	sharedIDs        SharedIDs                     // IDs in use at all processes; nil: this is the only one
 	openCount        int                           // requests that have not ended
 	lastID           policy.RequestID              // ID of the request accepted last
 	endpoints        map[policy.ServerID]Endpoint  // endpoints of the listed servers
@@ -290,6 +289,8 @@
 		return ErrDuplicateID
 	case e.singleUse(r) && e.spent.contains(e.Now(), r.ExternalID):
 		return ErrDuplicateID
+	case !e.claimID(r):
+		return ErrDuplicateID
 	case r.ExternalID != "":
 		e.openByExternalID[r.ExternalID] = r
 	}
@@ -301,17 +302,6 @@
 	return nil
 }
 
-// singleUse reports whether r must not run if an earlier request with its ID may have run. Orders
-// are left to the code that records their attempts.
-func (e *Engine) singleUse(r *Request) bool {
-	if !r.SingleUseID || r.ExternalID == "" || r.Order != nil {
-		return false
-	}
-	name, _ := strings.CutSuffix(r.Class, reconfig.PreviousSuffix)
-	class, known := e.Class(name)
-	return !known || class.Effect != policy.Safe
-}
-
 // Expires returns when the client stops waiting for the reply to r, whose timeout runs from
 // receivedAt.
 func (e *Engine) Expires(r *Request, receivedAt policy.Time) policy.Time {
@@ -384,12 +374,7 @@
 // markEnded marks r as ended and frees its ExternalID for other requests.
 func (e *Engine) markEnded(r *Request) {
 	r.ended = true
-	if r.ExternalID != "" {
-		delete(e.openByExternalID, r.ExternalID)
-	}
-	if e.singleUse(r) && (r.mayHaveRun || r.outstanding > 0) {
-		e.spent.add(e.Now(), r.ExternalID)
-	}
+	e.freeID(r)
 	e.openCount--
 	e.checkDrained()
 }
@@ -411,7 +396,7 @@
 		return
 	}
 	if e.singleUse(r) && !r.mayHaveRun {
-		e.spent.remove(r.ExternalID)
+		e.unspendID(r)
 	}
 	delete(e.requests, r.id)
 	r.Payload = nil
--- a/internal/engine/spent_ids.go
+++ b/internal/engine/spent_ids.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// spentIDLifetime is how long the ID of a request that may have run is remembered. It covers the
+	// SpentIDLifetime is how long the ID of a request that may have run is remembered. It covers the
 	// time in which a client, or what is between it and this process, may send the request again.
-	spentIDLifetime = 30 * time.Second
+	SpentIDLifetime = 30 * time.Second
 	// maxSpentIDs limits the remembered IDs; the oldest are forgotten first.
 	maxSpentIDs = 16_384
 )
@@ -33,7 +33,7 @@
 	}
 	s.since[id] = now
 	s.queue = append(s.queue, spentID{id, now})
-	for len(s.queue) > maxSpentIDs || now-s.queue[0].at > spentIDLifetime {
+	for len(s.queue) > maxSpentIDs || now-s.queue[0].at > SpentIDLifetime {
 		oldest := s.queue[0]
 		s.queue = s.queue[1:]
 		if s.since[oldest.id] == oldest.at {
@@ -48,5 +48,5 @@
 // contains reports whether an ID is remembered.
 func (s *spentIDs) contains(now policy.Time, id string) bool {
 	at, ok := s.since[id]
-	return ok && now-at <= spentIDLifetime
+	return ok && now-at <= SpentIDLifetime
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -13,7 +13,6 @@
 	"io/fs"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -74,13 +73,13 @@
 	if st, ok := info.Sys().(*syscall.Stat_t); !info.IsDir() || info.Mode().Perm()&0o022 != 0 || ok && int(st.Uid) != os.Getuid() {
 		return nil, fmt.Errorf("handover: %s is not a directory that only this user may write to", path)
 	}
-	// The names of the liveness files sort by the time at which their processes started.
-	d := &Dir{path: path, name: fmt.Sprintf("%020d-%d%s", time.Now().UnixNano(), os.Getpid(), liveSuffix)}
+	d := &Dir{path: path}
 	unlock, err := d.lock()
 	if err != nil {
 		return nil, err
 	}
 	defer unlock()
+	d.chooseName(time.Now())
 	if d.liveFile, err = createLocked(filepath.Join(path, d.name)); err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
@@ -91,6 +90,17 @@
 	return d, nil
 }
 
+// chooseName sets the name of this process's liveness file. The names sort by the time at which their
+// processes started, and no two of them have the same owner number.
+func (d *Dir) chooseName(start time.Time) {
+	for offset := range int64(1) << slotOwnerBits {
+		d.name = fmt.Sprintf("%020d-%d%s", start.UnixNano()+offset, os.Getpid(), liveSuffix)
+		if !d.ownerTaken(d.name) {
+			return
+		}
+	}
+}
+
 // createLocked creates the named file, which nobody ever sees without a lock: other processes take an
 // unlocked liveness file for that of a process that has died, and remove it.
 func createLocked(name string) (*os.File, error) {
@@ -266,27 +276,18 @@
 // CountOthers counts the other live processes, and removes the files of those that have died.
 func (d *Dir) CountOthers() (ProcessCounts, error) {
 	var o ProcessCounts
-	names, err := os.ReadDir(d.path)
+	names, err := d.liveNames()
 	if err != nil {
 		return o, fmt.Errorf("handover: %w", err)
 	}
-	for _, n := range names {
-		if !strings.HasSuffix(n.Name(), liveSuffix) || n.Name() == d.name {
-			continue
-		}
-		path := filepath.Join(d.path, n.Name())
-		f, err := os.OpenFile(path, os.O_RDWR, 0)
-		if err != nil {
-			continue // its process has just ended and removed it
-		}
-		if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
-			os.Remove(path) // the lock is free: its process has died
-		} else if n.Name() < d.name {
+	for _, name := range names {
+		switch {
+		case name == d.name || !d.processAlive(name):
+		case name < d.name:
 			o.Older++
-		} else {
+		default:
 			o.Newer++
 		}
-		f.Close()
 	}
 	return o, nil
 }
