Tell a reset from the end of an answer while its request is being sent

Cause: the kernel reports a reset once; the write of the request got it, and the read then saw EOF.

A connection to a server remembers that a write got the error. EOF of a connection that is closed on both sides waits for a write in progress, which returns at once, and is a reset if that broke. A server that has ended its side before is told by EPIPE: its answer stays whole.

--- a/internal/fronttest/scripted_server_test.go
+++ b/internal/fronttest/scripted_server_test.go
@@ -225,6 +225,10 @@
 			f.mu.Lock()
 			record.complete = plan.ending == endsInOrder
 			f.mu.Unlock()
+			if plan.ending == resets { // while the request is still being sent
+				c.SetLinger(0)
+				return
+			}
 			if plan.framing == untilClose {
 				c.CloseWrite() // the end of the answer, while the request is still being read
 			}
--- a/internal/fronttest/soak_test.go
+++ b/internal/fronttest/soak_test.go
@@ -201,7 +201,7 @@
 			x.bodySize = min(x.bodySize, 2*x.writeRate)
 		}
 		plan.readRate = oneOf(rng, 0, 0, 200<<10, 1<<20)
-		plan.early = x.bodySize > 0 && rng.IntN(5) == 0 && plan.ending == endsInOrder
+		plan.early = x.bodySize > 0 && rng.IntN(5) == 0 && plan.ending != stopsForever
 	}
 	switch rng.IntN(10) {
 	case 0:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"quillfront/internal/engine"
@@ -97,18 +98,25 @@
 	waitingSince time.Time      // when the present or last Read began
 	watch        *responseWatch // of the response that is being buffered; nil: none
 	bytesWritten atomic.Int64   // bytes of the current exchange that the kernel has accepted
+	reset        resetDetector
 }
 
 // Write implements net.Conn. While a body is uploaded, it is bounded by c.writeStall and c.writeUntil.
 func (c *conn) Write(p []byte) (int, error) {
+	c.reset.writeBegins()
+	n, err := c.writeBounded(p)
+	c.reset.writeEnds(err)
+	c.bytesWritten.Add(n)
+	return int(n), err
+}
+
+// writeBounded is Write without the records of c.
+func (c *conn) writeBounded(p []byte) (int64, error) {
 	if c.writeStall == 0 {
 		n, err := c.Conn.Write(p)
-		c.bytesWritten.Add(int64(n))
-		return n, err
+		return int64(n), err
 	}
-	n, err := sockets.WriteWithin(c.Conn, &net.Buffers{p}, c.writeStall, c.writeUntil, c.writeAbandon)
-	c.bytesWritten.Add(n)
-	return int(n), err
+	return sockets.WriteWithin(c.Conn, &net.Buffers{p}, c.writeStall, c.writeUntil, c.writeAbandon)
 }
 
 func newConn(nc net.Conn, to engine.Endpoint, release func(), buffer int) *conn {
@@ -118,10 +126,20 @@
 	return c
 }
 
-// Read implements net.Conn. A response that has begun may stand still for c.stallTimeout; while it
-// does, the connection's watch is woken when it asks for that. The first read of an exchange has no
-// deadline of its own, and most responses need only one read.
+// Read implements net.Conn. It returns io.EOF only if the server has ended its side in order: the end of
+// a connection that was reset is an error.
 func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.readBounded(p)
+	if err == io.EOF && c.reset.hides(c.Conn) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// readBounded is Read without the check of the end. A response that has begun may stand still for
+// c.stallTimeout; while it does, the connection's watch is woken when it asks for that. The first read
+// of an exchange has no deadline of its own, and most responses need only one read.
+func (c *conn) readBounded(p []byte) (int, error) {
 	if !c.responseBegun {
 		return c.Conn.Read(p)
 	}
