Read a long request on after an early answer of the library's handlers

Cause: the handler interrupted the reading of the body and returned; net/http's server closes 0.5 s later over what is unread.

The handlers of Pools had the same fault and use the same.

--- a/http.go
+++ b/http.go
@@ -415,8 +415,8 @@
 	err := requestError(call.AddHeader(req.Header))
 	call.Host, call.HostOptional = req.Host, !req.ProtoAtLeast(1, 1)
 	var a *httpmsg.Response
-	body := &clientBody{ReadCloser: req.Body}
-	early := &bodyInterrupter{w: w, req: req}
+	body, early := receiveBody(w, req)
+	defer early.stop()
 	if err == nil {
 		a, err = b.do(req.Context(), &call, req.Header, body, early.interrupt)
 	}
@@ -433,7 +433,8 @@
 	for name, values := range httpmsg.ParseHeader(a.HeaderLines) {
 		header[name] = values
 	}
-	if n := contentLength(a); n >= 0 {
+	n := contentLength(a)
+	if n >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
 	answer := bodyReader(early.answerContext(), a)
@@ -442,6 +443,7 @@
 	if err := copyAndFlush(w, answer, a.BodyRest != nil); err != nil && a.BodyRest != nil {
 		panic(http.ErrAbortHandler) // lets the client detect that the answer is incomplete
 	}
+	early.drain(n >= 0)
 }
 
 // clientBody is a body received from a client. An error while it is read becomes a RequestError, so
--- a/pools.go
+++ b/pools.go
@@ -387,12 +387,12 @@
 		// Otherwise the answer would wait for the rest of the body.
 		http.NewResponseController(w).EnableFullDuplex()
 	}
-	body := &clientBody{ReadCloser: req.Body}
+	body, early := receiveBody(w, req)
+	defer early.stop()
 	received := *req
 	if received.Body = body; req.ContentLength == 0 {
 		received.Body = http.NoBody // in a received request, a length of 0 means no body
 	}
-	early := &bodyInterrupter{w: w, req: req}
 	a, finish, err := p.do(&received, requestTarget(req), req.Host, via, interim, early.interrupt)
 	mu.Lock()
 	finalStarted = true
@@ -432,6 +432,7 @@
 			header[http.TrailerPrefix+name] = values
 		}
 	}
+	early.drain(n >= 0)
 }
 
 // copyAndFlush copies an answer's body to w. It flushes each part of a streamed body at once.
