--- a/http.go
+++ b/http.go
@@ -160,10 +160,6 @@
 	return strings.EqualFold(name, "Host") || strings.EqualFold(name, "X-Timeout-Ms") || strings.EqualFold(name, "X-Request-ID")
 }
 
-// orderBodyWaitDivisor sets how long an order may wait for the memory that it needs: its timeout divided
-// by orderBodyWaitDivisor.
-const orderBodyWaitDivisor = 4
-
 // isOrder reports whether a call goes to the coordinator of orders.
 func (b *Balancer) isOrder(call *httpcall.Call) bool {
 	return b.coordinator != nil && call.IdempotencyKey != ""
@@ -177,9 +173,7 @@
 	if memory.Bytes > 0 || !b.isOrder(call) {
 		return memory, nil
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, timeout/orderBodyWaitDivisor)
-	defer cancel()
-	memory, err := b.bodyBudget.AwaitStart(waitCtx, call.Length)
+	memory, err := b.bodyBudget.AwaitStart(ctx, call.Length, timeout)
 	if err != nil && ctx.Err() == nil {
 		return memory, &RefusedError{}
 	}
--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 
@@ -19,6 +20,9 @@
 	// minChunkedStart is the start of a body of unknown length, in bytes, that is held when the share of
 	// long bodies is used up. Most such bodies are shorter.
 	minChunkedStart = 4 << 10
+	// startWaitDivisor sets how long a request may wait for memory: its timeout divided by
+	// startWaitDivisor.
+	startWaitDivisor = 4
 )
 
 // Budget is a limit of memory for bodies, in bytes. Its methods are safe for concurrent use.
@@ -76,11 +80,14 @@
 }
 
 // AwaitStart waits until it can reserve memory for as much of a body as identifies it: all of it, but
-// at most httpmsg.MaxFullBody bytes. It returns the error of ctx if that ends first.
-func (b *Budget) AwaitStart(ctx context.Context, length int64) (Reservation, error) {
+// at most httpmsg.MaxFullBody bytes. It waits only for a part of the request's timeout, so that the
+// request can still be served or refused in time. It returns an error if that or ctx ends first.
+func (b *Budget) AwaitStart(ctx context.Context, length int64, timeout time.Duration) (Reservation, error) {
 	if length < 0 || length > httpmsg.MaxFullBody {
 		length = httpmsg.MaxFullBody
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout/startWaitDivisor)
+	defer cancel()
 	if err := b.total.Acquire(ctx, length); err != nil {
 		return Reservation{}, err
 	}
--- a/internal/bodybudget/budget_test.go
+++ b/internal/bodybudget/budget_test.go
@@ -73,17 +73,20 @@
 // TestAwaitStart checks that a wait for memory ends with its context, or once there is enough.
 func TestAwaitStart(t *testing.T) {
 	b := New(httpmsg.MaxFullBody)
-	held, err := b.AwaitStart(context.Background(), -1)
+	held, err := b.AwaitStart(context.Background(), -1, time.Second)
 	if err != nil || held.Bytes != httpmsg.MaxFullBody {
 		t.Fatalf("%d bytes, %v", held.Bytes, err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 	defer cancel()
-	if _, err := b.AwaitStart(ctx, 1); err == nil {
+	if _, err := b.AwaitStart(ctx, 1, time.Hour); err == nil {
+		t.Error("memory that is in use was reserved again")
+	}
+	if _, err := b.AwaitStart(context.Background(), 1, 40*time.Millisecond); err == nil {
 		t.Error("memory that is in use was reserved again")
 	}
 	time.AfterFunc(10*time.Millisecond, held.Release)
-	if r, err := b.AwaitStart(context.Background(), 1); err != nil || r.Bytes != 1 {
+	if r, err := b.AwaitStart(context.Background(), 1, time.Minute); err != nil || r.Bytes != 1 {
 		t.Errorf("%d bytes, %v", r.Bytes, err)
 	}
 }
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -491,7 +491,7 @@
 // share of the memory, and that a body that finds no memory is served without any, in time.
 func TestBodyBudgetIsBounded(t *testing.T) {
 	sc := startSidecar(t, newScriptedModule(), startServer(t, respondText(okResponse)), "127.0.0.1:1", func(c *config.Config) { c.MemoryMB = config.MinMemoryMB })
-	if _, err := sc.bodyBudget.AwaitStart(t.Context(), httpmsg.MaxFullBody); err != nil {
+	if _, err := sc.bodyBudget.AwaitStart(t.Context(), httpmsg.MaxFullBody, time.Second); err != nil {
 		t.Fatal(err)
 	}
 	for sc.bodyBudget.Reserve(1<<10, 0).Bytes > 0 {
