--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -13,13 +13,17 @@
 )
 
 const (
-	// longShareNumerator and longShareDenominator give the share of the budget that bodies longer than
-	// httpmsg.MaxFullBody, or of unknown length, may use. Their clients may take minutes to send them;
-	// the rest of the budget is for the others.
-	longShareNumerator, longShareDenominator = 3, 4
-	// minChunkedStart is the start of a body of unknown length, in bytes, that is held when the share of
-	// long bodies is used up. Most such bodies are shorter.
-	minChunkedStart = 4 << 10
+	// A share of the budget is a number of sixteenths of it.
+	shareUnit = 16
+	// longShare is what bodies longer than httpmsg.MaxFullBody, or of unknown length, may use. Their
+	// clients may take minutes to send them; the rest of the budget is for the others.
+	longShare = 12
+	// mediumShare is what all bodies longer than maxSmall may use. Most requests are smaller, and what is
+	// left serves them beside any number of clients that send the others slowly.
+	mediumShare = 14
+	// maxSmall is the longest small body, in bytes. It is also how much is held of a body of unknown
+	// length when the share of long bodies is used up: most such bodies are shorter.
+	maxSmall = 4 << 10
 	// startWaitDivisor sets how long a request may wait for memory: its timeout divided by
 	// startWaitDivisor.
 	startWaitDivisor = 4
@@ -27,15 +31,25 @@
 
 // Budget is a limit of memory for bodies, in bytes. Its methods are safe for concurrent use.
 type Budget struct {
-	total *semaphore.Weighted
-	long  *semaphore.Weighted // the part of total that long bodies may use
-	used  atomic.Int64
+	// What bodies are taken from: small ones from the whole budget, medium ones also from mediumShare,
+	// long ones also from longShare.
+	small, medium, long []*semaphore.Weighted
+	used                atomic.Int64
 }
 
-// New returns a budget of the given size in bytes, but at least httpmsg.MaxFullBody.
+// New returns a budget of the given size in bytes, but at least such that one body of
+// httpmsg.MaxFullBody has room.
 func New(size int64) *Budget {
 	size = max(size, httpmsg.MaxFullBody)
-	return &Budget{total: semaphore.NewWeighted(size), long: semaphore.NewWeighted(size / longShareDenominator * longShareNumerator)}
+	share := func(n int64) *semaphore.Weighted {
+		return semaphore.NewWeighted(max(size/shareUnit*n, min(size, httpmsg.MaxFullBody)))
+	}
+	total, medium, long := semaphore.NewWeighted(size), share(mediumShare), share(longShare)
+	return &Budget{
+		small:  []*semaphore.Weighted{total},
+		medium: []*semaphore.Weighted{medium, total},
+		long:   []*semaphore.Weighted{long, medium, total},
+	}
 }
 
 // Used returns how many bytes are reserved.
@@ -45,7 +59,7 @@
 type Reservation struct {
 	Bytes  int64 // how much of the body may be held
 	budget *Budget
-	long   bool
+	from   []*semaphore.Weighted // what it was taken from
 }
 
 // Release returns the memory to the budget. It must be called once.
@@ -54,10 +68,7 @@
 		return
 	}
 	r.budget.used.Add(-r.Bytes)
-	r.budget.total.Release(r.Bytes)
-	if r.long {
-		r.budget.long.Release(r.Bytes)
-	}
+	release(r.from, r.Bytes)
 }
 
 // Reserve reserves memory for a body of the given length; negative: unknown. It never waits. It
@@ -65,16 +76,16 @@
 // of another, or less if there is less: then the caller sends the rest as it arrives.
 func (b *Budget) Reserve(length, maxWhole int64) Reservation {
 	if length >= 0 && length <= httpmsg.MaxFullBody {
-		return b.reserveShort(length)
+		return b.tryReserve(length, b.sharesOf(length))
 	}
 	if length >= 0 && length <= maxWhole {
-		if r := b.reserveLong(length); r.Bytes > 0 {
+		if r := b.tryReserve(length, b.long); r.Bytes > 0 {
 			return r
 		}
 	}
-	r := b.reserveLong(httpmsg.MaxFullBody)
+	r := b.tryReserve(httpmsg.MaxFullBody, b.long)
 	if r.Bytes == 0 && length < 0 {
-		r = b.reserveShort(minChunkedStart)
+		r = b.tryReserve(maxSmall, b.small)
 	}
 	return r
 }
@@ -88,34 +99,47 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout/startWaitDivisor)
 	defer cancel()
-	if err := b.total.Acquire(ctx, length); err != nil {
-		return Reservation{}, err
+	shares := b.sharesOf(length)
+	for i, s := range shares {
+		if err := s.Acquire(ctx, length); err != nil {
+			release(shares[:i], length)
+			return Reservation{}, err
+		}
 	}
-	return b.reserved(length, false), nil
+	return b.reserved(length, shares), nil
 }
 
-// reserveShort reserves n bytes of the whole budget, or nothing.
-func (b *Budget) reserveShort(n int64) Reservation {
-	if n == 0 || !b.total.TryAcquire(n) {
-		return Reservation{}
+// sharesOf returns what a body of up to httpmsg.MaxFullBody bytes is taken from.
+func (b *Budget) sharesOf(length int64) []*semaphore.Weighted {
+	if length <= maxSmall {
+		return b.small
 	}
-	return b.reserved(n, false)
+	return b.medium
 }
 
-// reserveLong reserves n bytes of the share of long bodies, or nothing.
-func (b *Budget) reserveLong(n int64) Reservation {
-	if !b.long.TryAcquire(n) {
+// tryReserve reserves n bytes of all shares, or nothing.
+func (b *Budget) tryReserve(n int64, shares []*semaphore.Weighted) Reservation {
+	if n == 0 {
 		return Reservation{}
 	}
-	if !b.total.TryAcquire(n) {
-		b.long.Release(n)
-		return Reservation{}
+	for i, s := range shares {
+		if !s.TryAcquire(n) {
+			release(shares[:i], n)
+			return Reservation{}
+		}
+	}
+	return b.reserved(n, shares)
+}
+
+// release returns n bytes to each share.
+func release(shares []*semaphore.Weighted, n int64) {
+	for _, s := range shares {
+		s.Release(n)
 	}
-	return b.reserved(n, true)
 }
 
 // reserved counts n bytes as used.
-func (b *Budget) reserved(n int64, long bool) Reservation {
+func (b *Budget) reserved(n int64, shares []*semaphore.Weighted) Reservation {
 	b.used.Add(n)
-	return Reservation{Bytes: n, budget: b, long: long}
+	return Reservation{Bytes: n, budget: b, from: shares}
 }
--- a/internal/bodybudget/budget_test.go
+++ b/internal/bodybudget/budget_test.go
@@ -34,9 +34,20 @@
 	if r := b.Reserve(httpmsg.MaxFullBody, maxWhole); r.Bytes != httpmsg.MaxFullBody {
 		t.Errorf("%d bytes of a short body beside long ones", r.Bytes)
 	}
-	if r := b.Reserve(-1, maxWhole); r.Bytes != minChunkedStart {
+	if r := b.Reserve(-1, maxWhole); r.Bytes != maxSmall {
 		t.Errorf("%d bytes of a body of unknown length beside long ones", r.Bytes)
 	}
+	for {
+		if r := b.Reserve(httpmsg.MaxFullBody, maxWhole); r.Bytes == 0 {
+			break
+		}
+	}
+	if want := int64(size / 8); size-b.Used() < want-2*maxSmall {
+		t.Errorf("%d bytes are free for small bodies, want %d", size-b.Used(), want)
+	}
+	if _, err := b.AwaitStart(context.Background(), 200, time.Second); err != nil {
+		t.Errorf("a small body beside long ones: %v", err)
+	}
 }
 
 // TestReservations checks over random bodies that the budget is never exceeded, that no more than a
--- a/internal/fronttest/slow_body_test.go
+++ b/internal/fronttest/slow_body_test.go
@@ -1,6 +1,7 @@
 package fronttest
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -71,6 +72,50 @@
 	}
 }
 
+// TestRememberedOrdersBesideSlowBodies guards against remembered orders that wait past their time for the
+// memory that they need: each gets an answer in time, also if clients that send slowly hold all of it.
+func TestRememberedOrdersBesideSlowBodies(t *testing.T) {
+	const (
+		memoryMB = 24
+		sockets  = 512
+		slow     = sockets / 3
+		orders   = 40
+		wait     = 600 * time.Millisecond
+	)
+	server := startServer(t, func(w http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		io.WriteString(w, "done")
+	})
+	f := startFront(t, platformFront, options{servers: []string{server}, memoryMB: memoryMB, sockets: sockets, deadline: wait, operator: "[store]\n"})
+	ctx, cancel := context.WithCancel(context.Background())
+	var clients sync.WaitGroup
+	defer clients.Wait()
+	defer cancel()
+	for range slow {
+		clients.Go(func() { f.repeatSlowBody(ctx, slowBody{size: 64 << 10, class: "order"}, 40<<10) })
+	}
+	time.Sleep(time.Second)
+	all := make([]exchange, orders)
+	var sending sync.WaitGroup
+	for i := range all {
+		all[i] = exchange{class: "order", wait: wait, bodySize: 212}
+		sending.Go(func() { all[i].run(f) })
+		time.Sleep(20 * time.Millisecond)
+	}
+	sending.Wait()
+	statuses := map[int]int{}
+	for i := range all {
+		x := &all[i]
+		statuses[x.status]++
+		if took := x.endAt.Sub(x.startAt); x.status == 0 || took > wait+lateLimit {
+			t.Errorf("status %d, %v after %v", x.status, x.err, took.Round(time.Millisecond))
+		}
+	}
+	if share := float64(statuses[http.StatusOK]) / orders; share < minServedShare {
+		t.Errorf("%.2f of the orders were served: statuses %v", share, statuses)
+	}
+}
+
 // startAny starts a front of the program or a form of the library.
 func startAny(t testing.TB, kind string, o options) *front {
 	t.Helper()
@@ -84,18 +129,20 @@
 type slowBody struct {
 	size    int
 	chunked bool
+	class   string // pay if empty
 }
 
 // send sends a request with the body at rate bytes per second.
 func (b slowBody) send(c net.Conn, rate int) {
+	class := cmp.Or(b.class, "pay")
 	if !b.chunked {
-		io.WriteString(c, requestHead("pay", newID(), b.size, ""))
+		io.WriteString(c, requestHead(class, newID(), b.size, ""))
 		writeSlowly(c, make([]byte, b.size), rate)
 		return
 	}
 	const perSecond = 20
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", rate/perSecond, strings.Repeat("x", rate/perSecond))
-	io.WriteString(c, requestHead("pay", newID(), 0, "Transfer-Encoding: chunked\r\n"))
+	io.WriteString(c, requestHead(class, newID(), 0, "Transfer-Encoding: chunked\r\n"))
 	for sent := 0; sent < b.size; sent += rate / perSecond {
 		if _, err := io.WriteString(c, chunk); err != nil {
 			return
