Choose the attempt also when the wait for another one is over

Cause: two attempts waited for a third that was about to get ahead; the younger one's wait was over first, and it was passed on without a choice. At the end of the wait the best is chosen now, without waiting for others, and is asked to be passed on; only 20 ms later another one is passed on in its place.

--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -32,9 +32,11 @@
 	// choiceRecheck is the interval at which the responses to one request look which of them is to be
 	// passed on.
 	choiceRecheck = 10 * time.Millisecond
-	// choiceTime is how long a response that is due to be passed on waits for one that is expected to
-	// end before it.
-	choiceTime = 80 * time.Millisecond
+	// choiceTime is how long responses that are due to be passed on wait for one that is about to get
+	// ahead of them, and maxChoiceTime how long one of them waits for another to be passed on. Both have
+	// to be below passOnReserve.
+	choiceTime    = 70 * time.Millisecond
+	maxChoiceTime = 90 * time.Millisecond
 	// errorBodyTimeout bounds the time to receive the body of an error, which is discarded.
 	errorBodyTimeout = 100 * time.Millisecond
 )
@@ -118,12 +120,17 @@
 	if w.dueSince.IsZero() {
 		w.dueSince = now
 	}
-	until := w.dueSince.Add(min(choiceTime, w.deadline.Sub(w.dueSince)*4/5))
-	if now.Before(until) && !w.a.MayPassOn(until, true) {
-		w.passAt = now.Add(choiceRecheck)
-		return false
+	left := w.deadline.Sub(w.dueSince)
+	latestChoice := w.dueSince.Add(min(choiceTime, left*7/10))
+	if latestChoice.Before(now) {
+		latestChoice = now
+	}
+	last := w.dueSince.Add(min(maxChoiceTime, left*9/10))
+	if !now.Before(last) || w.a.MayPassOn(latestChoice, true) {
+		return true
 	}
-	return true
+	w.passAt = now.Add(choiceRecheck)
+	return false
 }
 
 // latestPass returns the latest time at which the response is passed on.
