Let the soak's servers end early answers by the plan of their attempt

The program's log tells the reset by the server, and the client saw a visible break. It goes by the attempt's own plan now.

--- a/internal/fronttest/scripted_server_test.go
+++ b/internal/fronttest/scripted_server_test.go
@@ -221,18 +221,19 @@
 		f.attempts[index] = append(f.attempts[index], record)
 		f.mu.Unlock()
 		if plan.early {
-			f.write(c, plan.at(record.number), index, record, nil)
+			own := plan.at(record.number)
+			f.write(c, own, index, record, nil)
 			f.mu.Lock()
-			record.complete = plan.ending == endsInOrder
+			record.complete = own.ending == endsInOrder
 			f.mu.Unlock()
-			if plan.ending == resets { // while the request is still being sent
+			if own.ending == resets { // while the request is still being sent
 				c.SetLinger(0)
 				return
 			}
-			if plan.framing == untilClose {
+			if own.framing == untilClose {
 				c.CloseWrite() // the end of the answer, while the request is still being read
 			}
-			if readBodyAtRate(q.Body, plan.readRate) != nil || plan.framing == untilClose || plan.ending != endsInOrder {
+			if readBodyAtRate(q.Body, plan.readRate) != nil || own.framing == untilClose {
 				return
 			}
 			continue
