Have the test of clients that leave a queue for memory use orders

Since bodies that find no memory are sent as they arrive, they no longer wait: a request is accepted if the server looks before its client has closed, which is right. Only remembered orders wait for memory; the test uses these, with the same claim: none whose client has left is accepted.

--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"quillfront/internal/config"
+	"quillfront/internal/orders"
 	"quillfront/policy"
 )
 
@@ -201,6 +202,22 @@
 	return serveSidecar(t, s)
 }
 
+// startSidecarWithOrders is startSidecar for a sidecar that remembers orders in memory.
+func startSidecarWithOrders(t testing.TB, m *scriptedModule, dial string, change func(*config.Config)) *testSidecar {
+	t.Helper()
+	cfg, err := loadConfig(t, configText(dial, "127.0.0.1:1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	change(&cfg)
+	s, err := newSidecar(cfg, config.Operator{Store: &orders.Config{}}, m, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "the cached list", m.lists)
+	return serveSidecar(t, s)
+}
+
 // serveSidecar runs s until the test ends.
 func serveSidecar(t testing.TB, s *Sidecar) *testSidecar {
 	t.Helper()
