Make one piece of code serve where this landing had written it twice

Need: the change had two loops over the owner numbers of processes, a second form of the daemon tests' start, and the same play of slow bodies in two tests. Each has one owner now (liveNamesOf, startSidecarWith, checkOrdersBesideSlowBodies). Behaviour and assertions are the same; the test of remembered orders sends 60 requests in place of 40.

--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -19,7 +19,6 @@
 	"time"
 
 	"quillfront/internal/config"
-	"quillfront/internal/orders"
 	"quillfront/policy"
 )
 
@@ -181,6 +180,12 @@
 // startSidecar runs a sidecar with the module m, or with the real module if m is nil, until the
 // test ends.
 func startSidecar(t testing.TB, m *scriptedModule, dial, discovery string, change ...func(*config.Config)) *testSidecar {
+	t.Helper()
+	return startSidecarWith(t, config.Operator{}, m, dial, discovery, change...)
+}
+
+// startSidecarWith is startSidecar with the configuration of an operator's file.
+func startSidecarWith(t testing.TB, op config.Operator, m *scriptedModule, dial, discovery string, change ...func(*config.Config)) *testSidecar {
 	t.Helper()
 	cfg, err := loadConfig(t, configText(dial, discovery))
 	if err != nil {
@@ -192,29 +197,13 @@
 	var s *Sidecar
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	if m != nil {
-		if s, err = newSidecar(cfg, config.Operator{}, m, log); err != nil {
+		if s, err = newSidecar(cfg, op, m, log); err != nil {
 			t.Fatal(err)
 		}
 		receive(t, "the cached list", m.lists)
-	} else if s, err = New(cfg, config.Operator{}, log); err != nil {
-		t.Fatal(err)
-	}
-	return serveSidecar(t, s)
-}
-
-// startSidecarWithOrders is startSidecar for a sidecar that remembers orders in memory.
-func startSidecarWithOrders(t testing.TB, m *scriptedModule, dial string, change func(*config.Config)) *testSidecar {
-	t.Helper()
-	cfg, err := loadConfig(t, configText(dial, "127.0.0.1:1"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	change(&cfg)
-	s, err := newSidecar(cfg, config.Operator{Store: &orders.Config{}}, m, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	if err != nil {
+	} else if s, err = New(cfg, op, log); err != nil {
 		t.Fatal(err)
 	}
-	receive(t, "the cached list", m.lists)
 	return serveSidecar(t, s)
 }
 
--- a/internal/daemon/interleaving_test.go
+++ b/internal/daemon/interleaving_test.go
@@ -12,6 +12,7 @@
 
 	"quillfront/internal/config"
 	"quillfront/internal/engine"
+	"quillfront/internal/orders"
 	"quillfront/policy"
 )
 
@@ -137,7 +138,7 @@
 	t.Run("body budget", func(t *testing.T) { // clients disconnect while their bodies are not read
 		g := newGatedServer(t)
 		// Only remembered orders wait for memory: other bodies are sent as they arrive.
-		sc := startSidecarWithOrders(t, newScriptedModule(), g.addr, func(c *config.Config) { c.MemoryMB = 1 })
+		sc := startSidecarWith(t, config.Operator{Store: &orders.Config{}}, newScriptedModule(), g.addr, "127.0.0.1:1", func(c *config.Config) { c.MemoryMB = 1 })
 		post := "POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nIdempotency-Key: k\nContent-Length: 65536\nConnection: close\n\n" + strings.Repeat("x", 65536)
 		// Of the body budget, an eighth of a MiB, such bodies may use seven eighths.
 		sc.connect(t).write(post)
--- a/internal/fronttest/slow_body_test.go
+++ b/internal/fronttest/slow_body_test.go
@@ -22,8 +22,6 @@
 		sockets  = 512
 		slow     = sockets / 3 // clients that send bodies
 		rate     = 64 << 10    // bytes per second of each
-		orders   = 60
-		interval = 20 * time.Millisecond
 		wait     = 1500 * time.Millisecond
 	)
 	for name, body := range map[string]slowBody{
@@ -38,35 +36,7 @@
 					io.WriteString(w, "done")
 				})
 				f := startAny(t, kind, options{servers: []string{server}, memoryMB: memoryMB, sockets: sockets})
-				ctx, cancel := context.WithCancel(context.Background())
-				var clients sync.WaitGroup
-				defer clients.Wait()
-				defer cancel()
-				for range slow {
-					clients.Go(func() { f.repeatSlowBody(ctx, body, rate) })
-				}
-				time.Sleep(time.Second) // they have begun
-				all := make([]exchange, orders)
-				var sending sync.WaitGroup
-				for i := range all {
-					all[i] = exchange{class: []string{"order", "pay"}[i%2], wait: wait, bodySize: 212}
-					sending.Go(func() { all[i].run(f) })
-					time.Sleep(interval)
-				}
-				sending.Wait()
-				served := 0
-				for i := range all {
-					x := &all[i]
-					if x.status == http.StatusOK {
-						served++
-					}
-					if took := x.endAt.Sub(x.startAt); x.status == 0 || took > wait+lateLimit {
-						t.Errorf("status %d, %v after %v\n%s", x.status, x.err, took.Round(time.Millisecond), f.logOf(x.id))
-					}
-				}
-				if share := float64(served) / orders; share < minServedShare {
-					t.Errorf("%.2f of the orders were served", share)
-				}
+				f.checkOrdersBesideSlowBodies(slow, body, rate, wait, "order", "pay")
 			})
 		})
 	}
@@ -79,7 +49,6 @@
 		memoryMB = 24
 		sockets  = 512
 		slow     = sockets / 3
-		orders   = 40
 		wait     = 600 * time.Millisecond
 	)
 	server := startServer(t, func(w http.ResponseWriter, q *http.Request) {
@@ -87,20 +56,32 @@
 		io.WriteString(w, "done")
 	})
 	f := startFront(t, platformFront, options{servers: []string{server}, memoryMB: memoryMB, sockets: sockets, deadline: wait, operator: "[store]\n"})
+	f.checkOrdersBesideSlowBodies(slow, slowBody{size: 64 << 10, class: "order"}, 40<<10, wait, "order")
+}
+
+// checkOrdersBesideSlowBodies sends short requests of classes while clients send bodies slowly, at rate
+// bytes per second, and reports an error unless each has an answer in time and nearly all are served.
+func (f *front) checkOrdersBesideSlowBodies(slow int, body slowBody, rate int, wait time.Duration, classes ...string) {
+	const (
+		orders   = 60
+		interval = 20 * time.Millisecond
+		begin    = time.Second // after it the slow clients have begun
+	)
+	f.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
 	defer clients.Wait()
 	defer cancel()
 	for range slow {
-		clients.Go(func() { f.repeatSlowBody(ctx, slowBody{size: 64 << 10, class: "order"}, 40<<10) })
+		clients.Go(func() { f.repeatSlowBody(ctx, body, rate) })
 	}
-	time.Sleep(time.Second)
+	time.Sleep(begin)
 	all := make([]exchange, orders)
 	var sending sync.WaitGroup
 	for i := range all {
-		all[i] = exchange{class: "order", wait: wait, bodySize: 212}
+		all[i] = exchange{class: classes[i%len(classes)], wait: wait, bodySize: 212}
 		sending.Go(func() { all[i].run(f) })
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(interval)
 	}
 	sending.Wait()
 	statuses := map[int]int{}
@@ -108,11 +89,11 @@
 		x := &all[i]
 		statuses[x.status]++
 		if took := x.endAt.Sub(x.startAt); x.status == 0 || took > wait+lateLimit {
-			t.Errorf("status %d, %v after %v", x.status, x.err, took.Round(time.Millisecond))
+			f.t.Errorf("status %d, %v after %v\n%s", x.status, x.err, took.Round(time.Millisecond), f.logOf(x.id))
 		}
 	}
 	if share := float64(statuses[http.StatusOK]) / orders; share < minServedShare {
-		t.Errorf("%.2f of the orders were served: statuses %v", share, statuses)
+		f.t.Errorf("%.2f of the orders were served: statuses %v", share, statuses)
 	}
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -95,7 +95,7 @@
 func (d *Dir) chooseName(start time.Time) {
 	for offset := range int64(1) << slotOwnerBits {
 		d.name = fmt.Sprintf("%020d-%d%s", start.UnixNano()+offset, os.Getpid(), liveSuffix)
-		if !d.ownerTaken(d.name) {
+		if !d.ownerTaken(ownerNumber(d.name)) {
 			return
 		}
 	}
--- a/internal/handover/owners.go
+++ b/internal/handover/owners.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 )
@@ -49,28 +50,21 @@
 // ownerAlive reports whether a process with an owner number runs. If that cannot be found out, it
 // counts as running.
 func (d *Dir) ownerAlive(owner uint64) bool {
-	names, err := d.liveNames()
+	names, err := d.liveNamesOf(owner)
 	if err != nil {
 		return true
 	}
-	for _, name := range names {
-		if ownerNumber(name) == owner && (name == d.name || d.processAlive(name)) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(names, func(name string) bool { return name == d.name || d.processAlive(name) })
+}
+
+// ownerTaken reports whether another process has, or had when it died, an owner number.
+func (d *Dir) ownerTaken(owner uint64) bool {
+	names, err := d.liveNamesOf(owner)
+	return err == nil && len(names) > 0
 }
 
-// ownerTaken reports whether another process has the owner number that a liveness name would have.
-func (d *Dir) ownerTaken(liveName string) bool {
+// liveNamesOf returns the names of the liveness files that have an owner number.
+func (d *Dir) liveNamesOf(owner uint64) ([]string, error) {
 	names, err := d.liveNames()
-	if err != nil {
-		return false
-	}
-	for _, name := range names {
-		if ownerNumber(name) == ownerNumber(liveName) {
-			return true
-		}
-	}
-	return false
+	return slices.DeleteFunc(names, func(name string) bool { return ownerNumber(name) != owner }), err
 }
