Show the table of ids by processes that are killed and that stand still

Need: the ids that two processes share were shown with both of them running, and their ends only within one process. Now one of two processes is killed by SIGKILL with requests open: those that are unsafe to repeat do not run again at the other process, those that are safe are served there. And one is stopped: the other one serves new ids and turns away open ones, without waiting for it.

--- a/cmd/quillfront/upgrade_test.go
+++ b/cmd/quillfront/upgrade_test.go
@@ -255,8 +255,8 @@
 }
 
 // startTwoProcesses starts two processes of one sidecar that accept on the same socket. It returns the
-// socket's address.
-func startTwoProcesses(t *testing.T, serverAddr, effect string) (addr string) {
+// socket's address and the processes, the older one first.
+func startTwoProcesses(t *testing.T, serverAddr, effect string) (addr string, processes [2]*process) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -270,13 +270,13 @@
 	t.Cleanup(func() { f.Close() })
 	tmp := t.TempDir()
 	config := strings.Replace(platformConfig(ln.Addr().String(), serverAddr), `"read_like"`, strconv.Quote(effect), 1)
-	for range 2 {
+	for i := range processes {
 		cmd := sidecarCommand(t, config)
 		cmd.ExtraFiles = append(cmd.ExtraFiles, f)
 		cmd.Env = append(cmd.Env, "GW_ACCEPT_FD=3", "GW_MANAGEMENT=127.0.0.1:0", "TMPDIR="+tmp)
-		startCommand(t, cmd)
+		processes[i] = startCommand(t, cmd)
 	}
-	return ln.Addr().String()
+	return ln.Addr().String(), processes
 }
 
 // sendID sends a request on a new connection and returns the status; 0: there was none within wait.
@@ -301,7 +301,7 @@
 func TestIDComesAgainAtOtherProcess(t *testing.T) {
 	const requests = 40
 	server := startIDServer(t, 300*time.Millisecond)
-	addr := startTwoProcesses(t, server.Listener.Addr().String(), "non_idempotent")
+	addr, _ := startTwoProcesses(t, server.Listener.Addr().String(), "non_idempotent")
 	var clients sync.WaitGroup
 	for i := range requests {
 		clients.Go(func() {
@@ -315,12 +315,88 @@
 	server.checkRuns(t, requests/2)
 }
 
+// TestIDsOfKilledProcess guards against requests that run twice because the process that had them open was
+// killed, and against IDs of requests that are safe to repeat which it blocks for ever.
+func TestIDsOfKilledProcess(t *testing.T) {
+	const requests = 40
+	for _, effect := range []string{"non_idempotent", "read_like"} {
+		t.Run(effect, func(t *testing.T) {
+			server := startIDServer(t, 400*time.Millisecond)
+			addr, processes := startTwoProcesses(t, server.Listener.Addr().String(), effect)
+			method, want := http.MethodPost, http.StatusConflict
+			if effect == "read_like" {
+				method, want = http.MethodGet, http.StatusOK
+			}
+			var clients sync.WaitGroup
+			var cut sync.Map // IDs whose requests were open at the process that was killed
+			for i := range requests {
+				clients.Go(func() {
+					id := fmt.Sprint(effect, i)
+					if sendID(t, addr, method, id, 10*time.Second) == 0 {
+						cut.Store(id, true)
+					}
+				})
+			}
+			time.Sleep(200 * time.Millisecond) // they are open
+			processes[0].Process.Kill()
+			clients.Wait()
+			again := 0
+			cut.Range(func(id, _ any) bool {
+				again++
+				if status := sendID(t, addr, method, id.(string), 10*time.Second); status != want {
+					t.Errorf("status %d for an ID of the process that was killed, want %d", status, want)
+				}
+				return again < 10
+			})
+			if again == 0 {
+				t.Error("the process that was killed had no request")
+			}
+			if effect == "non_idempotent" {
+				server.checkRuns(t, requests/2)
+			}
+		})
+	}
+}
+
+// TestIDsOfStoppedProcess guards against a process that holds up the other one of an upgrade because it
+// stands still, and against the loss of what it has open: its IDs stay in use.
+func TestIDsOfStoppedProcess(t *testing.T) {
+	const (
+		requests = 20
+		bound    = time.Second // of an answer at the other process, whose server takes 0.3 s
+	)
+	server := startIDServer(t, 300*time.Millisecond)
+	addr, processes := startTwoProcesses(t, server.Listener.Addr().String(), "non_idempotent")
+	var clients sync.WaitGroup
+	for i := range requests {
+		clients.Go(func() { sendID(t, addr, http.MethodPost, fmt.Sprint("open", i), 10*time.Second) })
+	}
+	time.Sleep(100 * time.Millisecond) // they are open
+	processes[0].Process.Signal(syscall.SIGSTOP)
+	statuses := map[int]int{} // of new connections that the running process accepts
+	for i := range requests {
+		for _, id := range []string{fmt.Sprint("open", i), fmt.Sprint("new", i)} {
+			begun := time.Now()
+			status := sendID(t, addr, http.MethodPost, id, bound)
+			if statuses[status]++; status == 0 && time.Since(begun) < bound {
+				t.Errorf("%s: no answer", id)
+			}
+		}
+	}
+	processes[0].Process.Signal(syscall.SIGCONT)
+	clients.Wait()
+	if statuses[http.StatusConflict] == 0 || statuses[http.StatusOK] == 0 {
+		t.Errorf("statuses %v beside a process that stands still", statuses)
+	}
+	server.checkRuns(t, requests)
+}
+
 // TestOpenIDAtOtherProcess guards against a client that is served under the ID of another client's
 // request, which is open at the other process of an upgrade.
 func TestOpenIDAtOtherProcess(t *testing.T) {
 	const requests = 40
 	server := startIDServer(t, 800*time.Millisecond)
-	addr := startTwoProcesses(t, server.Listener.Addr().String(), "read_like")
+	addr, _ := startTwoProcesses(t, server.Listener.Addr().String(), "read_like")
 	var clients sync.WaitGroup
 	var served atomic.Int32
 	for i := range requests {
