Take an id that was written in this moment for one in use

Callers would see: an id used at two processes of an upgrade at once, where one writes its entry in the moment in which the other looks. Cause: the age of an entry was taken modulo the range of its time; one written a unit after the other process had read its clock seemed 29 hours old, so that its place was free. Found by reading the change again. Ages in the upper half of the range are none now.

--- a/internal/handover/request_ids.go
+++ b/internal/handover/request_ids.go
@@ -332,8 +332,13 @@
 	return time.Duration(uint64(s)&lowBits(slotTimeBits)) * slotTimeUnit
 }
 
-// age returns how long ago the slot was written. It is right for slots younger than the range of the
-// time field, some 29 hours.
+// age returns how long ago the slot was written. It is right for slots younger than half the range of the
+// time field, some 14 hours. A slot that another process has written since now was read has no age.
 func (s slot) age(now time.Duration) time.Duration {
-	return time.Duration((uint64(now/slotTimeUnit)-uint64(s))&lowBits(slotTimeBits)) * slotTimeUnit
+	const half = 1 << (slotTimeBits - 1)
+	units := (uint64(now/slotTimeUnit) - uint64(s)) & lowBits(slotTimeBits)
+	if units >= half {
+		return 0
+	}
+	return time.Duration(units) * slotTimeUnit
 }
--- a/internal/handover/request_ids_test.go
+++ b/internal/handover/request_ids_test.go
@@ -82,6 +82,23 @@
 	claims(one, false, "open at the other process again")
 }
 
+// TestIDsOfProcessAhead guards against an ID that two processes use at once because the clock reading of
+// one is slightly behind that with which the other wrote its entry.
+func TestIDsOfProcessAhead(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "shared")
+	now := time.Hour
+	ahead := openIDs(t, path, func() time.Duration { return now + slotTimeUnit })
+	behind := openIDs(t, path, func() time.Duration { return now })
+	ahead.ids.Claim("open", true)
+	ahead.ids.Claim("spent", true)
+	ahead.ids.Spend("spent")
+	for _, id := range []string{"open", "spent"} {
+		if behind.ids.Claim(id, true) {
+			t.Errorf("%s: an ID in use was claimed", id)
+		}
+	}
+}
+
 // TestIDsOfDeadProcess guards against IDs that a process which has died blocks for ever, and against
 // those that run twice because it has died.
 func TestIDsOfDeadProcess(t *testing.T) {
