Know a repeated order whatever memory for its body is free

Callers saw: an order of 200 KB that is repeated while the memory for long bodies is in use was answered 422, "used for another request". Cause: its fingerprint covered as much of the body as was held, which free memory decides; since slow bodies no longer block others, a body in chunks could be held up to 4 KiB alone. The fingerprint covers the first 64 KiB now, and an order waits for these (bodybudget.ReserveOrder, for the front and the library, which had the same lines). Beside it: the drain of a handler needs no limit that stands for none.

--- a/body_pump.go
+++ b/body_pump.go
@@ -17,8 +17,6 @@
 	// chunkedDrainTime is how long a client is waited for whose answer has no length: net/http's server
 	// writes its end only when the handler has returned.
 	chunkedDrainTime = time.Second
-	// noDrainLimit is longer than any drain takes.
-	noDrainLimit = time.Hour
 	// maxDrain is the longest rest of a request that is read after its answer, in bytes.
 	maxDrain = 32 << 20
 )
@@ -91,7 +89,7 @@
 func (p *bodyPump) interrupt() { p.reader.Close() }
 
 // drain waits until the client has sent all of its request, as long as it does so steadily, but no longer
-// than limit.
+// than limit; 0: there is none.
 func (p *bodyPump) drain(limit time.Duration) {
 	p.interrupt()
 	if !p.started.Load() {
@@ -112,7 +110,7 @@
 			last, lastAt = received, now
 		}
 		minimum := int64((now.Sub(begun) - drainStallTimeout).Seconds() * minDrainRate)
-		if now.Sub(lastAt) >= drainStallTimeout || received-first > maxDrain || received-first < minimum || now.Sub(begun) >= limit {
+		if now.Sub(lastAt) >= drainStallTimeout || received-first > maxDrain || received-first < minimum || limit > 0 && now.Sub(begun) >= limit {
 			return
 		}
 	}
--- a/http.go
+++ b/http.go
@@ -169,13 +169,15 @@
 // there is none. An order needs the start of its body, which identifies it, and may wait for memory,
 // but only for a part of its time.
 func (b *Balancer) reserveBody(ctx context.Context, call *httpcall.Call, timeout time.Duration) (bodybudget.Reservation, error) {
-	memory := b.bodyBudget.Reserve(call.Length, httpmsg.MaxFullBody)
-	if memory.Bytes > 0 || !b.isOrder(call) {
-		return memory, nil
+	if !b.isOrder(call) {
+		return b.bodyBudget.Reserve(call.Length, httpmsg.MaxFullBody), nil
 	}
-	memory, err := b.bodyBudget.AwaitStart(ctx, call.Length, timeout)
-	if err != nil && ctx.Err() == nil {
-		return memory, &RefusedError{}
+	memory, _, err := b.bodyBudget.ReserveOrder(ctx, call.Length, httpmsg.MaxFullBody, timeout)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		err = context.Cause(ctx)
+	case err != nil:
+		err = &RefusedError{}
 	}
 	return memory, err
 }
@@ -192,9 +194,6 @@
 	}
 	memory, err := b.reserveBody(ctx, call, timeout)
 	if err != nil {
-		if ctx.Err() != nil {
-			err = context.Cause(ctx)
-		}
 		return nil, nil, err
 	}
 	succeeded := false
--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -42,7 +42,7 @@
 func New(size int64) *Budget {
 	size = max(size, httpmsg.MaxFullBody)
 	share := func(n int64) *semaphore.Weighted {
-		return semaphore.NewWeighted(max(size/shareUnit*n, min(size, httpmsg.MaxFullBody)))
+		return semaphore.NewWeighted(max(size/shareUnit*n, httpmsg.MaxFullBody))
 	}
 	total, medium, long := semaphore.NewWeighted(size), share(mediumShare), share(longShare)
 	return &Budget{
@@ -90,13 +90,30 @@
 	return r
 }
 
+// ReserveOrder is Reserve for a body whose start identifies its request, so that it has to be held. It
+// waits for that as AwaitStart does, and reports whether it did.
+func (b *Budget) ReserveOrder(ctx context.Context, length, maxWhole int64, timeout time.Duration) (r Reservation, waited bool, err error) {
+	if r = b.Reserve(length, maxWhole); r.Bytes >= startLength(length) {
+		return r, false, nil
+	}
+	r.Release()
+	r, err = b.AwaitStart(ctx, length, timeout)
+	return r, true, err
+}
+
+// startLength returns how much of a body of the given length identifies its request; negative: unknown.
+func startLength(length int64) int64 {
+	if length < 0 {
+		return httpmsg.MaxFullBody
+	}
+	return min(length, httpmsg.MaxFullBody)
+}
+
 // AwaitStart waits until it can reserve memory for as much of a body as identifies it: all of it, but
 // at most httpmsg.MaxFullBody bytes. It waits only for a part of the request's timeout, so that the
 // request can still be served or refused in time. It returns an error if that or ctx ends first.
 func (b *Budget) AwaitStart(ctx context.Context, length int64, timeout time.Duration) (Reservation, error) {
-	if length < 0 || length > httpmsg.MaxFullBody {
-		length = httpmsg.MaxFullBody
-	}
+	length = startLength(length)
 	ctx, cancel := context.WithTimeout(ctx, timeout/startWaitDivisor)
 	defer cancel()
 	shares := b.sharesOf(length)
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -17,6 +17,7 @@
 	"quillfront/internal/config"
 	"quillfront/internal/engine"
 	"quillfront/internal/httpmsg"
+	"quillfront/internal/orders"
 	"quillfront/policy"
 )
 
@@ -487,6 +488,33 @@
 	}
 }
 
+// TestOrderRepeatedWithoutMemory guards against an order that is taken for another one because less of its
+// body is held when it is repeated.
+func TestOrderRepeatedWithoutMemory(t *testing.T) {
+	sc := startSidecarWith(t, config.Operator{Store: &orders.Config{}}, newScriptedModule(), startServer(t, respondText(okResponse)), "127.0.0.1:1")
+	text := strings.Repeat("x", 200<<10)
+	order := func(key, framing string) int {
+		resp, _ := sc.roundTrip(t, fmt.Sprintf("POST /order/k HTTP/1.1\nHost: s\nX-Request-ID: 1\nX-Timeout-Ms: 9000\nIdempotency-Key: %s\n%s", key, framing))
+		return resp.StatusCode
+	}
+	framings := map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\n\n%s", len(text), text),
+		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\n\n%x\n%s\n0\n\n", len(text), text),
+	}
+	for key, framing := range framings {
+		if status := order(key, framing); status != http.StatusOK {
+			t.Fatalf("%s: status %d", key, status)
+		}
+	}
+	for sc.bodyBudget.Reserve(1<<20, 1<<20).Bytes > 0 { // the share of long bodies
+	}
+	for key, framing := range framings {
+		if status := order(key, framing); status != http.StatusOK {
+			t.Errorf("%s: status %d of the same order with less memory", key, status)
+		}
+	}
+}
+
 // TestBodyBudgetIsBounded checks that bodies that are only announced never reserve more than their
 // share of the memory, and that a body that finds no memory is served without any, in time.
 func TestBodyBudgetIsBounded(t *testing.T) {
--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -183,7 +183,8 @@
 	return nil
 }
 
-// Fingerprint returns a hash of c's method, target and tenant and of body. It distinguishes
+// Fingerprint returns a hash of c's method, target and tenant and of the first httpmsg.MaxFullBody bytes
+// of body: how much more of a longer one is held depends on the free memory. It distinguishes
 // different requests with the same Idempotency-Key, so that a tenant that knows or guesses the key
 // of another tenant does not get that tenant's response.
 func (c *Call) Fingerprint(body []byte) (sum [sha256.Size]byte) {
@@ -192,7 +193,7 @@
 		h.Write(binary.AppendUvarint(nil, uint64(len(part))))
 		io.WriteString(h, part)
 	}
-	h.Write(body)
+	h.Write(body[:min(len(body), httpmsg.MaxFullBody)])
 	h.Sum(sum[:0])
 	return sum
 }
--- a/internal/httpcall/target_test.go
+++ b/internal/httpcall/target_test.go
@@ -1,6 +1,10 @@
 package httpcall
 
-import "testing"
+import (
+	"testing"
+
+	"quillfront/internal/httpmsg"
+)
 
 // TestDecodePath checks that DecodePath rejects paths whose class a server could read differently.
 func TestDecodePath(t *testing.T) {
@@ -61,4 +65,8 @@
 			}
 		}
 	}
+	long := make([]byte, httpmsg.MaxFullBody+1)
+	if (&Call{}).Fingerprint(long) != (&Call{}).Fingerprint(long[:httpmsg.MaxFullBody]) {
+		t.Error("the fingerprint depends on how much of a long body is held")
+	}
 }
--- a/internal/httpfront/request_body.go
+++ b/internal/httpfront/request_body.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"quillfront/internal/bodybudget"
 	"quillfront/internal/engine"
 	"quillfront/internal/httpcall"
 	"quillfront/internal/httpmsg"
@@ -30,12 +31,12 @@
 		return s.engine.Now(), nil
 	}
 	begunAt := s.engine.Now()
-	memory := s.bodyBudget.Reserve(length, maxBufferedBody)
-	waited := memory.Bytes == 0 && s.isOrder(call)
-	if waited {
-		if memory, err = s.bodyBudget.AwaitStart(s.answerCtx, length, r.Timeout); err != nil {
-			return 0, httpcall.Rejection{Status: http.StatusServiceUnavailable, Text: "no room for the body"}
-		}
+	var memory bodybudget.Reservation
+	waited := false
+	if !s.isOrder(call) {
+		memory = s.bodyBudget.Reserve(length, maxBufferedBody)
+	} else if memory, waited, err = s.bodyBudget.ReserveOrder(s.answerCtx, length, maxBufferedBody, r.Timeout); err != nil {
+		return 0, httpcall.Rejection{Status: http.StatusServiceUnavailable, Text: "no room for the body"}
 	}
 	r.Release = memory.Release
 	c.SetReadDeadline(time.Now().Add(bodyTimeout))
--- a/interrupt.go
+++ b/interrupt.go
@@ -45,13 +45,12 @@
 	if i.pump == nil {
 		return
 	}
-	limit := noDrainLimit
-	if knownLength {
-		http.NewResponseController(i.w).Flush()
-	} else {
-		limit = chunkedDrainTime
+	if !knownLength {
+		i.pump.drain(chunkedDrainTime)
+		return
 	}
-	i.pump.drain(limit)
+	http.NewResponseController(i.w).Flush()
+	i.pump.drain(0)
 }
 
 // stop ends the reading of the body. It must be called before the request's handler returns.
