Look at no files for an id that is open at a live process

Need: a request under an id that is open at the other process had the folder read and its locks tried, under the engine's lock; a client that repeats one at full speed made all others wait for that. A process that the poll of the folder has found last counts as running now. Beside it: only memory faults cost the table; other panics are no longer swallowed with them.

Measured: the tests of internal/handover (twice), of ids and upgrades in cmd/quillfront and internal/daemon pass with -race.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -55,8 +55,9 @@
 	liveFile *os.File // locked for as long as this process runs
 	name     string
 
-	mu     sync.Mutex
-	cached State // as last read or written
+	mu         sync.Mutex
+	cached     State           // as last read or written
+	liveOwners map[uint64]bool // owner numbers of the other processes that CountOthers found last
 }
 
 // Open registers this process in the directory at path, creating the directory if necessary. The
@@ -280,15 +281,21 @@
 	if err != nil {
 		return o, fmt.Errorf("handover: %w", err)
 	}
+	live := map[uint64]bool{}
 	for _, name := range names {
-		switch {
-		case name == d.name || !d.processAlive(name):
-		case name < d.name:
+		if name == d.name || !d.processAlive(name) {
+			continue
+		}
+		live[ownerNumber(name)] = true
+		if name < d.name {
 			o.Older++
-		default:
+		} else {
 			o.Newer++
 		}
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.liveOwners = live
 	return o, nil
 }
 
--- a/internal/handover/owners.go
+++ b/internal/handover/owners.go
@@ -47,9 +47,16 @@
 	return false
 }
 
-// ownerAlive reports whether a process with an owner number runs. If that cannot be found out, it
-// counts as running.
+// ownerAlive reports whether a process with an owner number runs. It counts as running for a while after
+// CountOthers, which Follow calls at each pollInterval, has found it, so that requests do not look at files.
+// If it cannot be found out, it counts as running.
 func (d *Dir) ownerAlive(owner uint64) bool {
+	d.mu.Lock()
+	known := d.liveOwners[owner]
+	d.mu.Unlock()
+	if known {
+		return true
+	}
 	names, err := d.liveNamesOf(owner)
 	if err != nil {
 		return true
--- a/internal/handover/request_ids.go
+++ b/internal/handover/request_ids.go
@@ -153,18 +153,25 @@
 	}
 	t.now = t.clock()
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer func() {
-		if fault := recover(); fault != nil {
-			t.unmap()
-			t.onLost(fmt.Errorf("%w: %v", ErrIDsLost, fault))
-		}
-	}()
+	defer t.loseOnFault()
 	var text [128]byte
 	sum := sha256.Sum256(append(append(text[:0], t.key[:]...), id...))
 	first := binary.LittleEndian.Uint64(sum[:]) % idsBuckets * idsPerBucket
 	f(t.slots[first:first+idsPerBucket], uint64(binary.LittleEndian.Uint32(sum[8:])))
 }
 
+// loseOnFault ends the use of the table if a memory fault has ended an access. Other panics go on.
+func (t *RequestIDs) loseOnFault() {
+	switch fault := recover().(type) {
+	case nil:
+	case interface{ Addr() uintptr }: // see debug.SetPanicOnFault
+		t.unmap()
+		t.onLost(fmt.Errorf("%w: %v", ErrIDsLost, fault))
+	default:
+		panic(fault)
+	}
+}
+
 // claim is Claim in the bucket of the ID.
 func (t *RequestIDs) claim(b bucket, tag uint64, singleUse bool) bool {
 	state := slotOpen
