--- a/internal/fronttest/harness_test.go
+++ b/internal/fronttest/harness_test.go
@@ -42,7 +42,12 @@
 // measure.
 var program string
 
-func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+func TestMain(m *testing.M) {
+	if runsFile := os.Getenv(runsFileVariable); runsFile != "" {
+		os.Exit(runServerProcess(runsFile))
+	}
+	os.Exit(runTests(m))
+}
 
 func runTests(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "fronttest")
