Have the soak find resets behind a blocked write, and count attempts

It draws requests of 12 MiB now whose server answers while it reads slowly and resets the connection, and servers that stop before their last byte more often. It counts attempts a request and the bytes of answers that were not passed on.

--- a/internal/fronttest/soak_test.go
+++ b/internal/fronttest/soak_test.go
@@ -38,7 +38,8 @@
 	onAll(t, []string{platformFront, routesFront, handlerForm, transportForm}, func(t *testing.T, kind string) {
 		var mu sync.Mutex
 		kinds := map[string]int{}
-		played, perfect := 0, 0
+		played, perfect, attempts := 0, 0, 0
+		var thrownAway int64 // bytes
 		t.Run("seeds", func(t *testing.T) {
 			limit := make(chan struct{}, soakParallel)
 			for seed := first; seed < first+seeds; seed++ {
@@ -52,6 +53,8 @@
 					defer mu.Unlock()
 					played += len(run.all)
 					perfect += run.served
+					attempts += run.attempts
+					thrownAway += run.thrownAway
 					for _, rule := range run.broken {
 						name, _, _ := strings.Cut(rule, ":")
 						kinds[name]++
@@ -59,7 +62,7 @@
 				})
 			}
 		})
-		t.Logf("%d seeds, %d exchanges, %d answers of 200 came whole, breaks by kind: %v", seeds, played, perfect, kinds)
+		t.Logf("%d seeds, %d exchanges, %d answers of 200 came whole, breaks by kind: %v; %.3f attempts a request, %d KB of other attempts' answers thrown away", seeds, played, perfect, kinds, float64(attempts)/float64(played), thrownAway>>10)
 	})
 }
 
@@ -81,11 +84,15 @@
 	front  *front
 	all    []*exchange
 	served int
-	broken []string
-	killed time.Time // from then on the process had to be gone; zero: it was not to end
-	events []string
-	begun  time.Time
-	stalls func() time.Duration // stops the watch of the machine and returns its longest delay
+	// attempts counts those that servers had, and thrownAway the bytes that they gave in answers that were
+	// not passed on.
+	attempts   int
+	thrownAway int64
+	broken     []string
+	killed     time.Time // from then on the process had to be gone; zero: it was not to end
+	events     []string
+	begun      time.Time
+	stalls     func() time.Duration // stops the watch of the machine and returns its longest delay
 }
 
 // play starts a process, plays all exchanges and events of the seed, and judges them.
@@ -167,6 +174,7 @@
 		if x.whole && x.status == 200 {
 			s.served++
 		}
+		s.count(x, attempts)
 		for _, rule := range x.judge(plan, attempts, s.killed) {
 			s.broken = append(s.broken, rule)
 			s.t.Errorf("seed %d: %s: at %.3f, %s; events %v\n%s", s.seed, rule, x.startAt.Sub(s.begun).Seconds(), x.describe(plan, attempts), s.events, s.front.logOf(x.id))
@@ -174,6 +182,16 @@
 	}
 }
 
+// count counts the attempts of an exchange and the bytes of answers that were not passed on.
+func (s *soakRun) count(x *exchange, attempts []attemptRecord) {
+	s.attempts += len(attempts)
+	for _, a := range attempts {
+		if n := len(a.writes); n > 0 && (x.status != 200 || a.number != x.attempt) {
+			s.thrownAway += int64(a.writes[n-1].total)
+		}
+	}
+}
+
 // logOf returns the lines of the process's log about a request.
 func (f *front) logOf(id string) string {
 	var lines []string
@@ -203,6 +221,9 @@
 		plan.readRate = oneOf(rng, 0, 0, 200<<10, 1<<20)
 		plan.early = x.bodySize > 0 && rng.IntN(5) == 0 && plan.ending != stopsForever
 	}
+	if x.class != "read" && rng.IntN(20) == 0 {
+		drawResetUpload(rng, x, plan)
+	}
 	switch rng.IntN(10) {
 	case 0:
 		x.readRate = max(100<<10, plan.size()/slowReadSeconds)
@@ -213,6 +234,17 @@
 	return x
 }
 
+// drawResetUpload makes x a request so long that the kernels do not hold it, whose server answers while
+// it reads slowly, and resets the connection in the middle of the answer.
+func drawResetUpload(rng *rand.Rand, x *exchange, plan *answerPlan) {
+	const pieces = 4
+	x.bodySize, x.writeRate, x.chunked = 12<<20, 0, rng.IntN(2) == 0
+	*plan = answerPlan{
+		shape: "reset while it is sent", framing: oneOf(rng, byLength, inChunks, untilClose, untilClose), early: true, ending: resets, missing: 1000,
+		pieces: lumps(40_000, pieces-1, between(rng, 50*time.Millisecond, 200*time.Millisecond)), readRate: 200 << 10,
+	}
+}
+
 // drawSize returns a random size up to limit, often close to a size at which something changes.
 func drawSize(rng *rand.Rand, limit int) int {
 	edge := oneOf(rng, 0, heldSize, fullSize, 1<<20)
@@ -275,7 +307,7 @@
 		return
 	}
 	size := p.size()
-	if len(p.pieces) > 1 {
+	if len(p.pieces) > 1 && rng.IntN(3) > 0 { // otherwise it ends before the last byte
 		p.pieces = p.pieces[:1+rng.IntN(len(p.pieces))]
 	}
 	p.missing = 1 + size - p.size()
